--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,31 @@
+import tseslint from "typescript-eslint";
+
+export default tseslint.config(
+  { ignores: ["**/dist/**", "**/generated/**", "build/**", "reports/**"] },
+  {
+    files: ["packages/*/src/**/*.ts", "packages/*/tests/**/*.ts"],
+    extends: [tseslint.configs.recommendedTypeChecked],
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: import.meta.dirname,
+      },
+    },
+    rules: {
+      "@typescript-eslint/consistent-type-imports": "error",
+      "@typescript-eslint/switch-exhaustiveness-check": [
+        "error",
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      "@typescript-eslint/require-await": "off",
+      "@typescript-eslint/no-unused-vars": [
+        "error",
+        { argsIgnorePattern: "^_", varsIgnorePattern: "^_" },
+      ],
+    },
+  },
+  {
+    files: ["packages/*/tests/**/*.ts"],
+    rules: { "@typescript-eslint/no-unused-expressions": "off" },
+  },
+);
--- /dev/null
+++ b/packages/admission/src/endpoint_ledger.ts
@@ -0,0 +1,114 @@
+import { invariant } from "@limpetshed/base";
+
+/** One open admission. */
+export interface Admission {
+  id: bigint;
+  fingerprint: bigint;
+  /** An endpoint was lost while running this request before. */
+  suspect: boolean;
+  /** Monotonic milliseconds at which it lapses unless renewed. */
+  expiresAtMs: number;
+}
+
+interface Waiter {
+  tryAdmit: () => boolean;
+}
+
+/** Milliseconds that an admission lives without being renewed. */
+export const ADMISSION_TTL_MS = 6_000;
+
+/** The open admissions of one endpoint, kept by its owner. */
+export class EndpointLedger {
+  readonly endpointId: string;
+  readonly #admissions = new Map<bigint, Admission>();
+  #waiters: Waiter[] = [];
+
+  constructor({ endpointId }: { endpointId: string }) {
+    this.endpointId = endpointId;
+  }
+
+  /** Open admissions. */
+  get inFlight(): number {
+    return this.#admissions.size;
+  }
+
+  /** Whether a suspect request is open. */
+  get runsSuspect(): boolean {
+    return [...this.#admissions.values()].some(({ suspect }) => suspect);
+  }
+
+  /** Requests that wait for admission. */
+  get waiting(): number {
+    return this.#waiters.length;
+  }
+
+  /** Opens an admission; the caller has checked the limit. */
+  open(admission: Admission, { limit }: { limit: number }): void {
+    const known = this.#admissions.has(admission.id);
+    this.#admissions.set(admission.id, admission);
+    invariant(
+      "admission.never_above_limit",
+      known || this.#admissions.size <= limit,
+      { endpoint: this.endpointId, inFlight: this.#admissions.size, limit },
+    );
+  }
+
+  /** Takes note of an admission granted elsewhere or before. */
+  announce(admission: Admission): void {
+    const known = this.#admissions.get(admission.id);
+    const suspect = known?.suspect ?? admission.suspect;
+    this.#admissions.set(admission.id, { ...admission, suspect });
+  }
+
+  /** Whether the admission is open. */
+  has(id: bigint): boolean {
+    return this.#admissions.has(id);
+  }
+
+  /** Ends an admission; returns it if it was open. */
+  close(id: bigint): Admission | undefined {
+    const admission = this.#admissions.get(id);
+    if (this.#admissions.delete(id)) {
+      this.wake();
+    }
+    return admission;
+  }
+
+  /** Drops admissions that were not renewed; returns how many. */
+  expire(nowMs: number): number {
+    let expired = 0;
+    for (const { id, expiresAtMs } of this.#admissions.values()) {
+      if (expiresAtMs <= nowMs) {
+        this.#admissions.delete(id);
+        expired += 1;
+      }
+    }
+    if (expired > 0) {
+      this.wake();
+    }
+    return expired;
+  }
+
+  /** All open admissions. */
+  all(): Admission[] {
+    return [...this.#admissions.values()];
+  }
+
+  /** Adds a waiter; returns the function that takes it out again. */
+  wait(tryAdmit: () => boolean): () => void {
+    const waiter = { tryAdmit };
+    this.#waiters.push(waiter);
+    return () => {
+      this.#waiters = this.#waiters.filter((other) => other !== waiter);
+    };
+  }
+
+  /** Lets every waiter try again, oldest first. */
+  wake(): void {
+    for (const waiter of [...this.#waiters]) {
+      if (waiter.tryAdmit()) {
+        this.#waiters = this.#waiters.filter((other) => other !== waiter);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/admission/src/load_sums.ts
@@ -0,0 +1,131 @@
+import { create } from "@bufbuild/protobuf";
+import type { HeartbeatContributor, Membership } from "@limpetshed/membership";
+import { peerpb } from "@limpetshed/peer";
+
+/** Load of one service's endpoints. */
+export interface ServiceLoad {
+  inFlight: number;
+  endpoints: number;
+}
+
+interface KnownSum extends ServiceLoad {
+  sequence: bigint;
+  heardAt: number;
+}
+
+const MAX_SUMS_SENT = 16;
+
+/**
+ * The load on each service, summed over the nodes that own its endpoints.
+ * Own sums are exact; those of others are as old as the last message.
+ */
+export class LoadSums implements HeartbeatContributor {
+  readonly #membership: Membership;
+  readonly #own: () => ReadonlyMap<string, ServiceLoad>;
+  readonly #known = new Map<string, Map<string, KnownSum>>();
+  #sequence = 1n;
+  #heard = 0;
+
+  /** `own` computes the load on the endpoints that this node owns. */
+  constructor({ membership, own }: {
+    membership: Membership;
+    own: () => ReadonlyMap<string, ServiceLoad>;
+  }) {
+    this.#membership = membership;
+    this.#own = own;
+    membership.addContributor(this);
+  }
+
+  contribute(heartbeat: peerpb.Heartbeat): void {
+    heartbeat.loadSums.push(...this.forMessage(MAX_SUMS_SENT));
+  }
+
+  absorb(heartbeat: peerpb.Heartbeat): void {
+    this.absorbSums(heartbeat.loadSums);
+  }
+
+  /** Own sums and the latest heard of others, at most `limit`. */
+  forMessage(limit: number): peerpb.LoadSum[] {
+    this.#sequence += 1n;
+    const nodeId = this.#membership.self.id;
+    const own = [...this.#own()].map(([service, load]) =>
+      create(peerpb.LoadSumSchema, {
+        nodeId,
+        service,
+        ...load,
+        sequence: this.#sequence,
+      })
+    );
+    return [...own, ...this.#latest(limit - own.length)];
+  }
+
+  /** Only the own sum of one service. */
+  ownSum(service: string): peerpb.LoadSum[] {
+    return this.forMessage(0).filter((sum) => sum.service === service);
+  }
+
+  /** Reads sums that a peer sent. */
+  absorbSums(sums: readonly peerpb.LoadSum[]): void {
+    for (const sum of sums) {
+      if (sum.nodeId !== this.#membership.self.id) {
+        this.#absorbOne(sum);
+      }
+    }
+  }
+
+  /** Load of a service over all nodes that are believed live. */
+  total(service: string): ServiceLoad {
+    const own = this.#own().get(service);
+    const total = {
+      inFlight: own?.inFlight ?? 0,
+      endpoints: own?.endpoints ?? 0,
+    };
+    for (const [nodeId, sums] of this.#known) {
+      const sum = sums.get(service);
+      if (sum !== undefined && this.#isLive(nodeId)) {
+        total.inFlight += sum.inFlight;
+        total.endpoints += sum.endpoints;
+      }
+    }
+    return total;
+  }
+
+  #absorbOne(sum: peerpb.LoadSum): void {
+    const sums = this.#known.get(sum.nodeId) ?? new Map<string, KnownSum>();
+    const known = sums.get(sum.service);
+    if (known === undefined || sum.sequence > known.sequence) {
+      this.#heard += 1;
+      sums.set(sum.service, {
+        inFlight: sum.inFlight,
+        endpoints: sum.endpoints,
+        sequence: sum.sequence,
+        heardAt: this.#heard,
+      });
+    }
+    this.#known.set(sum.nodeId, sums);
+  }
+
+  #latest(limit: number): peerpb.LoadSum[] {
+    if (limit <= 0) {
+      return [];
+    }
+    const all = [...this.#known].flatMap(([nodeId, sums]) =>
+      [...sums].map(([service, sum]) => ({ nodeId, service, sum }))
+    );
+    all.sort((a, b) => b.sum.heardAt - a.sum.heardAt);
+    return all.slice(0, limit).map(({ nodeId, service, sum }) =>
+      create(peerpb.LoadSumSchema, {
+        nodeId,
+        service,
+        inFlight: sum.inFlight,
+        endpoints: sum.endpoints,
+        sequence: sum.sequence,
+      })
+    );
+  }
+
+  #isLive(nodeId: string): boolean {
+    const state = this.#membership.node(nodeId)?.state;
+    return state === "alive" || state === "suspect" || state === "leaving";
+  }
+}
--- /dev/null
+++ b/packages/admission/src/owned_endpoint.ts
@@ -0,0 +1,114 @@
+import type { Service } from "@limpetshed/config";
+import type { EndpointInfo } from "@limpetshed/membership";
+import { EndpointLedger } from "./endpoint_ledger.ts";
+import { coldStartLimit, loadLimit } from "./endpoint_limit.ts";
+import type { EndpointMonitor } from "./endpoint_monitor.ts";
+import type { ServiceLoad } from "./load_sums.ts";
+
+/** What the limit of an owned endpoint depends on at one moment. */
+export interface LimitContext {
+  service: Service;
+  total: ServiceLoad;
+  /** Part of the region's nodes that this node reaches, in `(0, 1]`. */
+  reachablePart: number;
+  nowMs: number;
+}
+
+/** Milliseconds a new owner waits for admissions to be announced. */
+export const SETTLE_MS = 2_500;
+/** Part of the limit that a settling owner may use. */
+const SETTLING_PART = 0.25;
+/** Age of a report up to which an idle endpoint counts as not restarted. */
+const FRESH_REPORT_MS = 300;
+
+/** One endpoint that this node owns: its monitor, ledger and limit. */
+export class OwnedEndpoint {
+  readonly info: EndpointInfo;
+  readonly monitor: EndpointMonitor;
+  readonly ledger: EndpointLedger;
+  #settleUntilMs: number;
+  #lastIdleMs = Number.POSITIVE_INFINITY;
+
+  constructor({ info, monitor, settleUntilMs }: {
+    info: EndpointInfo;
+    monitor: EndpointMonitor;
+    settleUntilMs: number;
+  }) {
+    this.info = info;
+    this.monitor = monitor;
+    this.ledger = new EndpointLedger({ endpointId: info.id });
+    this.#settleUntilMs = settleUntilMs;
+  }
+
+  /** The former owner's admissions may not all be known yet. */
+  isSettling(nowMs: number): boolean {
+    return nowMs < this.#settleUntilMs;
+  }
+
+  /** The former owner has handed over: all its admissions are known. */
+  settle(): void {
+    this.#settleUntilMs = 0;
+  }
+
+  /** Starts settling anew. */
+  unsettle(nowMs: number): void {
+    this.#settleUntilMs = nowMs + SETTLE_MS;
+  }
+
+  /** In service: new work may go there. */
+  get inService(): boolean {
+    const { health } = this.monitor;
+    return this.info.state === "live" &&
+      (health === "starting" || health === "ready");
+  }
+
+  /** Takes note, before each admission, of whether the endpoint is idle. */
+  noteBeforeAdmission(nowMs: number): void {
+    if (this.ledger.inFlight === 0) {
+      this.#lastIdleMs = nowMs;
+    }
+  }
+
+  /** Most requests that may be open once the next is admitted. */
+  limit({ service, total, reachablePart, nowMs }: LimitContext): number {
+    const bound = loadLimit({
+      loadMultiple: service.load_multiple,
+      totalInFlight: total.inFlight,
+      endpoints: total.endpoints,
+      maxInFlight: service.max_in_flight,
+    });
+    const bearable = Math.min(bound, this.#coldLimit(service, nowMs));
+    const part = reachablePart < 1
+      ? Math.max(1, Math.floor(bearable * reachablePart))
+      : bearable;
+    return this.isSettling(nowMs) ? this.#settlingLimit(part) : part;
+  }
+
+  #coldLimit(service: Service, nowMs: number): number {
+    const { initial, completed_per_step } = service.cold_start;
+    const coldStart = { initial, completedPerStep: completed_per_step };
+    const completed = this.monitor.report?.completed ?? 0;
+    const proven = this.provenSameBoot(nowMs) ? completed : 0;
+    return coldStartLimit(coldStart, proven);
+  }
+
+  /**
+   * An endpoint that was idle since its last report may have restarted
+   * unseen, and counts as cold until it reports again. A restart under load
+   * shows at once, by its lost connections.
+   */
+  provenSameBoot(nowMs: number): boolean {
+    const { probedAtMs } = this.monitor;
+    const busySinceProbe = this.ledger.inFlight > 0 &&
+      probedAtMs >= this.#lastIdleMs;
+    return busySinceProbe || nowMs - probedAtMs <= FRESH_REPORT_MS;
+  }
+
+  /** Unknown admissions show in the report; keep well clear of the limit. */
+  #settlingLimit(limit: number): number {
+    const reported = this.monitor.report?.inFlight ?? limit;
+    const unknown = Math.max(0, reported - this.ledger.inFlight);
+    const room = Math.floor(limit * SETTLING_PART) - unknown;
+    return Math.max(0, Math.min(limit - unknown, this.ledger.inFlight + room));
+  }
+}
--- /dev/null
+++ b/packages/base/src/deferred.ts
@@ -0,0 +1,17 @@
+/** A promise together with the functions that settle it. */
+export interface Deferred<T> {
+  promise: Promise<T>;
+  resolve: (value: T) => void;
+  reject: (err: Error) => void;
+}
+
+/** Makes a {@linkcode Deferred}. */
+export function deferred<T>(): Deferred<T> {
+  let resolve!: (value: T) => void;
+  let reject!: (err: Error) => void;
+  const promise = new Promise<T>((onResolve, onReject) => {
+    resolve = onResolve;
+    reject = onReject;
+  });
+  return { promise, resolve, reject };
+}
--- /dev/null
+++ b/packages/base/src/index.ts
@@ -0,0 +1,15 @@
+/** Clock interface, invariants and small asynchronous helpers. */
+export { AsyncQueue } from "./async_queue.ts";
+export type { Clock, Timer } from "./clock.ts";
+export { type Deferred, deferred } from "./deferred.ts";
+export {
+  invariant,
+  type InvariantListener,
+  onInvariantBroken,
+} from "./invariant.ts";
+export { ManualClock } from "./manual_clock.ts";
+export { PausableClock } from "./pausable_clock.ts";
+export { repeat, type Repeating, type RepeatOptions } from "./repeat.ts";
+export { sleep } from "./sleep.ts";
+export { SystemClock } from "./system_clock.ts";
+export { withTimeout } from "./with_timeout.ts";
--- /dev/null
+++ b/packages/base/src/sleep.ts
@@ -0,0 +1,25 @@
+import type { Clock } from "./clock.ts";
+
+/**
+ * Resolves after `ms` milliseconds, or earlier when `signal` aborts. Never
+ * rejects: callers check the signal themselves.
+ */
+export function sleep(
+  clock: Clock,
+  ms: number,
+  { signal }: { signal?: AbortSignal } = {},
+): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted === true) {
+      resolve();
+      return;
+    }
+    const finish = () => {
+      timer.cancel();
+      signal?.removeEventListener("abort", finish);
+      resolve();
+    };
+    const timer = clock.setTimer(ms, finish);
+    signal?.addEventListener("abort", finish, { once: true });
+  });
+}
--- /dev/null
+++ b/packages/cli/src/stand_in_command.ts
@@ -0,0 +1,79 @@
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import process from "node:process";
+import type { Command } from "./command.ts";
+import { CommandError } from "./command_error.ts";
+import {
+  Deployment,
+  type LayoutName,
+  LAYOUTS,
+  memberKeys,
+} from "./deployment.ts";
+import { nodeAddresses, writeNodeFiles } from "./node_files.ts";
+import { number, required, text } from "./options.ts";
+import { printJson } from "./output.ts";
+
+/** `stand-in`: runs everything outside the fleet on loopback. */
+export const standInCommand: Command = {
+  name: "stand-in",
+  usage: "--dir DIR [--layout brodeline|vozes] [--nodes N] [--members N] " +
+    "[--budget TOKENS] [--seed N] [--port N]",
+  summary: "Run the platform and the endpoints as stand-ins; write settings.",
+  options: {
+    dir: { type: "string", short: "d" },
+    layout: { type: "string" },
+    nodes: { type: "string" },
+    members: { type: "string" },
+    budget: { type: "string" },
+    seed: { type: "string" },
+    port: { type: "string" },
+  },
+  run: async (parsed) => {
+    const directory = required(parsed, "dir");
+    const layout = readLayout(text(parsed, "layout", "brodeline"));
+    const seed = number(parsed, "seed", 1);
+    const port = number(parsed, "port", 21_000);
+    const deployment = new Deployment({ layout, seed, portBase: port });
+    await deployment.start();
+    const nodes = nodeAddresses(number(parsed, "nodes", 4), {
+      portBase: port + 100,
+      zones: deployment.layout.availabilityZones,
+    });
+    nodes.forEach(({ id, peers, availabilityZone }) =>
+      deployment.addNode({ id, address: peers, availabilityZone })
+    );
+    const settings = writeNodeFiles(directory, {
+      deployment,
+      nodes,
+      peerKey: `peer-${seed}`,
+      operatorKey: `operator-${seed}`,
+    });
+    const members = memberKeys(number(parsed, "members", 10), seed);
+    const budget = number(parsed, "budget", 1_000_000);
+    const config = join(directory, "first_config.json");
+    writeFileSync(
+      config,
+      JSON.stringify(deployment.firstConfig({ members, budget }), null, 2),
+    );
+    const keys = join(directory, "member_keys.txt");
+    writeFileSync(keys, members.map(({ key }) => `${key}\n`).join(""));
+    printJson({ settings, config, keys, nodes });
+    await new Promise<void>((resolve) => {
+      process.once("SIGTERM", () => resolve());
+      process.once("SIGINT", () => resolve());
+    });
+    await deployment.close();
+  },
+};
+
+/** Reads the name of a layout. */
+export function readLayout(name: string): LayoutName {
+  if (name in LAYOUTS) {
+    return name as LayoutName;
+  }
+  const known = Object.keys(LAYOUTS).join(", ");
+  throw new CommandError(
+    "usage",
+    `--layout: expected one of ${known}, got '${name}'`,
+  );
+}
--- /dev/null
+++ b/packages/config/src/snapshot.ts
@@ -0,0 +1,124 @@
+import { Buffer } from "node:buffer";
+import { type Bucket, bucketOf, decodeBucket, encodeBucket } from "./chunk.ts";
+import {
+  BUCKET_COUNT,
+  type ConfigHead,
+  contentDigest,
+  headDigest,
+} from "./head.ts";
+import {
+  type ConfigBase,
+  type ConfigDocument,
+  EMPTY_BASE,
+  type Member,
+  type Service,
+} from "./schema.ts";
+
+const PARSED_BUCKETS_KEPT = 16;
+
+/**
+ * One version of the configuration. Members stay in their encoded chunks,
+ * outside the garbage-collected heap, and are parsed when asked for.
+ */
+export class ConfigSnapshot {
+  readonly head: ConfigHead;
+  readonly base: ConfigBase;
+  readonly chunks: readonly Buffer[];
+  /** Sum of the members' shares in each bucket. */
+  readonly bucketShares: readonly number[];
+  readonly #parsed = new Map<number, Bucket>();
+  #digest: string | undefined;
+
+  constructor({ head, base, chunks, bucketShares }: {
+    head: ConfigHead;
+    base: ConfigBase;
+    chunks: readonly Buffer[];
+    bucketShares: readonly number[];
+  }) {
+    this.head = head;
+    this.base = base;
+    this.chunks = chunks;
+    this.bucketShares = bucketShares;
+  }
+
+  /** The number of this version. */
+  get version(): number {
+    return this.head.version;
+  }
+
+  /** Digest of the head. */
+  get digest(): string {
+    this.#digest ??= headDigest(this.head);
+    return this.#digest;
+  }
+
+  /** Finds a member. */
+  member(name: string): Member | undefined {
+    const bucket = this.bucket(bucketOf(name));
+    return Object.hasOwn(bucket, name) ? bucket[name] : undefined;
+  }
+
+  /** Finds a service. */
+  service(name: string): Service | undefined {
+    const { services } = this.base;
+    return Object.hasOwn(services, name) ? services[name] : undefined;
+  }
+
+  /** Whether new work may go to an availability zone. */
+  zoneIn(zone: string): boolean {
+    const zones = this.base.availability_zones;
+    return Object.hasOwn(zones, zone) && zones[zone]?.state === "in";
+  }
+
+  /** The members of one bucket. */
+  bucket(index: number): Bucket {
+    const known = this.#parsed.get(index);
+    if (known !== undefined) {
+      return known;
+    }
+    const bucket = decodeBucket(this.chunks[index]!);
+    this.#parsed.set(index, bucket);
+    if (this.#parsed.size > PARSED_BUCKETS_KEPT) {
+      const [oldest] = this.#parsed.keys();
+      this.#parsed.delete(oldest!);
+    }
+    return bucket;
+  }
+
+  /** The whole document. */
+  document(): ConfigDocument {
+    const members: Record<string, Member> = {};
+    for (const chunk of this.chunks) {
+      Object.assign(members, decodeBucket(chunk));
+    }
+    return { ...this.base, members };
+  }
+}
+
+/** Sum of the shares of one bucket's members. */
+export function sumShares(bucket: Bucket): number {
+  return Object.values(bucket).reduce((sum, { share }) => sum + share, 0);
+}
+
+/** Encodes the base part. */
+export function encodeBase(base: ConfigBase): Buffer {
+  return Buffer.from(JSON.stringify(base), "utf8");
+}
+
+/** Version 0: no members, no services, no availability zones. */
+export function emptySnapshot(): ConfigSnapshot {
+  const chunk = encodeBucket({});
+  const digest = contentDigest(chunk);
+  return new ConfigSnapshot({
+    head: {
+      version: 0,
+      base: contentDigest(encodeBase(EMPTY_BASE)),
+      buckets: Array.from({ length: BUCKET_COUNT }, () => digest),
+      patches: [],
+      retired: [],
+    },
+    base: EMPTY_BASE,
+    chunks: Array.from({ length: BUCKET_COUNT }, () => chunk),
+    bucketShares: Array.from({ length: BUCKET_COUNT }, () => 0),
+  });
+}
--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,422 @@
+import { create } from "@bufbuild/protobuf";
+import {
+  type Clock,
+  repeat,
+  type Repeating,
+  type Timer,
+} from "@limpetshed/base";
+import type { Rng } from "@limpetshed/hashing";
+import type { Logger, Metrics } from "@limpetshed/observe";
+import {
+  type PeerHandlers,
+  peerpb,
+  type PeerTransport,
+} from "@limpetshed/peer";
+import type { VmChanges } from "@limpetshed/vm_list";
+import type { HeartbeatContributor } from "./heartbeat_contributor.ts";
+import { NewsQueue } from "./news_queue.ts";
+import { toRecord } from "./node_record.ts";
+import { NodeTable } from "./node_table.ts";
+import type { NodeView } from "./node_view.ts";
+
+/** Options of {@linkcode Membership}. */
+export interface MembershipOptions {
+  clock: Clock;
+  rng: Rng;
+  transport: PeerTransport;
+  handlers: PeerHandlers;
+  metrics: Metrics;
+  logger: Logger;
+  /** This node. */
+  self: Pick<NodeView, "id" | "address" | "region" | "availabilityZone">;
+  /** Milliseconds between two heartbeats. */
+  heartbeatIntervalMs?: number;
+  /** Longest wait for the answer to a heartbeat, in milliseconds. */
+  heartbeatTimeoutMs?: number;
+  /** Milliseconds from suspicion to death in a small fleet. */
+  suspectTimeoutMs?: number;
+  /** One heartbeat in this many goes to another region. */
+  remoteEvery?: number;
+}
+
+/** Peers asked to probe a node that did not answer. */
+const INDIRECT_PROBES = 2;
+/** Fleet size up to which the suspicion timeout is not stretched. */
+const SMALL_FLEET = 10;
+const FORGET_MS = 60_000;
+
+/**
+ * Which nodes are live: own heartbeats joined with the platform's vm list.
+ * One heartbeat per interval goes to the next peer of a shuffled round, so
+ * the cost per node does not grow with the fleet.
+ */
+export class Membership {
+  readonly #options: Required<MembershipOptions>;
+  readonly #table: NodeTable;
+  readonly #news = new NewsQueue();
+  readonly #contributors: HeartbeatContributor[] = [];
+  readonly #listeners: (() => void)[] = [];
+  readonly #deaths = new Map<string, Timer>();
+  #round: string[] = [];
+  #beats = 0;
+  #viewNumber = 0;
+  #timesDeclaredDead = 0;
+  #lastAckMs: number;
+  #beating: Repeating | undefined;
+
+  constructor(options: MembershipOptions) {
+    this.#options = {
+      heartbeatIntervalMs: 1_000,
+      heartbeatTimeoutMs: 500,
+      suspectTimeoutMs: 3_000,
+      remoteEvery: 5,
+      ...options,
+    };
+    this.#lastAckMs = options.clock.monotonicMs();
+    this.#table = new NodeTable({
+      self: {
+        ...options.self,
+        incarnation: BigInt(options.clock.now().getTime()) + 1n,
+        state: "alive",
+        listed: true,
+      },
+    });
+    this.#table.onChange = (view) => this.#changed(view);
+    this.#table.onDeclaredDead = () => {
+      this.#timesDeclaredDead += 1;
+    };
+    options.handlers.on("heartbeat", (beat) => this.#onHeartbeat(beat));
+    options.handlers.on("probeRequest", (req) => this.#onProbe(req));
+  }
+
+  /** This node. */
+  get self(): Readonly<NodeView> {
+    return this.#table.self;
+  }
+
+  /** Grows with every change of any node. */
+  get viewNumber(): number {
+    return this.#viewNumber;
+  }
+
+  /** How often peers held this node dead while it was not. */
+  get timesDeclaredDead(): number {
+    return this.#timesDeclaredDead;
+  }
+
+  /** Milliseconds since a peer last answered a heartbeat of this node. */
+  get lastAckAgeMs(): number {
+    return this.#options.clock.monotonicMs() - this.#lastAckMs;
+  }
+
+  /** All known nodes, this one included. */
+  nodes(): readonly Readonly<NodeView>[] {
+    return this.#table.all();
+  }
+
+  /** Finds a node. */
+  node(id: string): Readonly<NodeView> | undefined {
+    return this.#table.get(id);
+  }
+
+  /** Nodes of a region that may own endpoints and budgets. */
+  eligible(region: string): string[] {
+    return this.#table.all()
+      .filter((view) =>
+        view.region === region &&
+        (view.state === "alive" || view.state === "suspect")
+      )
+      .map((view) => view.id);
+  }
+
+  /**
+   * Part of the region's listed nodes that this node holds to be live, in
+   * `(0, 1]`. Both sides of a split see parts that sum to at most 1.
+   */
+  reachablePart(): number {
+    const { self } = this.#table;
+    const region = this.#table.all().filter((view) =>
+      view.region === self.region
+    );
+    const live = region.filter((view) =>
+      view.state === "alive" || view.state === "suspect" ||
+      view.state === "leaving"
+    );
+    const lost = region.filter((view) =>
+      view.listed && (view.state === "dead" || view.state === "unheard")
+    );
+    return live.length / (live.length + lost.length);
+  }
+
+  /** Whether any other node of the region is believed live. */
+  hasPeers(): boolean {
+    return this.eligible(this.self.region).some((id) => id !== this.self.id);
+  }
+
+  /** Lets a package add to heartbeats. */
+  addContributor(contributor: HeartbeatContributor): void {
+    this.#contributors.push(contributor);
+  }
+
+  /** Calls `listener` after every change of the view. */
+  onChange(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Takes over a reading of the vm list. */
+  applyVmList(changes: VmChanges): void {
+    this.#table.applyVmList(changes);
+  }
+
+  /** Sends one heartbeat to every listed node, then goes on in rounds. */
+  async start(): Promise<void> {
+    await this.joinRound();
+    const { clock, rng, logger, heartbeatIntervalMs } = this.#options;
+    this.#beating = repeat(clock, () => this.#beat(), {
+      everyMs: heartbeatIntervalMs,
+      jitter: () => rng.jitter(),
+      onError: (err) => logger.error({ err }, "heartbeat failed"),
+    });
+  }
+
+  /** Sends one heartbeat to every node of the region not heard of yet. */
+  async joinRound(): Promise<void> {
+    const unheard = this.#table.others().filter((view) =>
+      view.state === "unheard" && view.region === this.self.region
+    );
+    await Promise.all(unheard.map((view) => this.#ping(view)));
+  }
+
+  /** Sends heartbeats to `count` random peers at once, to spread news. */
+  spreadNews(count: number): void {
+    const peers = this.#table.others().filter((view) =>
+      view.state === "alive" && view.region === this.self.region
+    );
+    for (const view of this.#options.rng.shuffle(peers).slice(0, count)) {
+      void this.#ping(view);
+    }
+  }
+
+  /** A call to this node failed: probe it at once. */
+  reportUnreachable(id: string): void {
+    const view = this.#table.get(id);
+    if (view?.state === "alive") {
+      void this.#probe(view);
+    }
+  }
+
+  /** Says to the peers that this node is leaving. */
+  async leave(): Promise<void> {
+    this.#table.leave();
+    const peers = this.#table.others().filter((view) =>
+      view.state === "alive" && view.region === this.self.region
+    );
+    await Promise.all(peers.map((view) => this.#ping(view)));
+  }
+
+  /** Stops heartbeats. */
+  async close(): Promise<void> {
+    for (const timer of this.#deaths.values()) {
+      timer.cancel();
+    }
+    this.#deaths.clear();
+    await this.#beating?.close();
+  }
+
+  async #beat(): Promise<void> {
+    const target = this.#nextTarget();
+    if (target !== undefined) {
+      await this.#probe(target);
+    }
+  }
+
+  #nextTarget(): Readonly<NodeView> | undefined {
+    this.#beats += 1;
+    const others = this.#table.others();
+    if (this.#beats % this.#options.remoteEvery === 0) {
+      const remote = others.filter((view) =>
+        view.region !== this.self.region && view.state !== "dead"
+      );
+      const dead = others.filter((view) =>
+        view.state === "dead" && view.listed
+      );
+      const chosen = this.#options.rng.pick([...remote, ...dead]);
+      if (chosen !== undefined) {
+        return chosen;
+      }
+    }
+    for (;;) {
+      const id = this.#round.pop();
+      if (id === undefined) {
+        break;
+      }
+      const view = this.#table.get(id);
+      if (view !== undefined && view.state !== "dead") {
+        return view;
+      }
+    }
+    const local = others.filter((view) =>
+      view.region === this.self.region && view.state !== "dead"
+    );
+    this.#round = this.#options.rng.shuffle(local.map((view) => view.id));
+    const first = this.#round.pop();
+    return first === undefined ? undefined : this.#table.get(first);
+  }
+
+  async #probe(view: Readonly<NodeView>): Promise<void> {
+    if (await this.#ping(view)) {
+      return;
+    }
+    if (view.state === "unheard" || view.state === "dead") {
+      return;
+    }
+    if (!await this.#probeThroughOthers(view)) {
+      this.#suspect(view.id);
+    }
+  }
+
+  async #ping(view: Readonly<NodeView>): Promise<boolean> {
+    const { transport, heartbeatTimeoutMs } = this.#options;
+    const message = this.#makeHeartbeat();
+    try {
+      const answer = await transport.call(view.address, "heartbeat", {
+        message,
+        timeoutMs: heartbeatTimeoutMs,
+      });
+      this.#lastAckMs = this.#options.clock.monotonicMs();
+      this.#absorb(answer);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  async #probeThroughOthers(view: Readonly<NodeView>): Promise<boolean> {
+    const { transport, heartbeatTimeoutMs, rng } = this.#options;
+    const helpers = rng.shuffle(
+      this.#table.others().filter((other) =>
+        other.id !== view.id && other.state === "alive" &&
+        other.region === view.region
+      ),
+    ).slice(0, INDIRECT_PROBES);
+    const answers = await Promise.all(helpers.map(async (helper) => {
+      try {
+        const answer = await transport.call(helper.address, "probeRequest", {
+          message: create(peerpb.ProbeRequestSchema, { targetId: view.id }),
+          timeoutMs: 2 * heartbeatTimeoutMs,
+        });
+        return answer.reachable;
+      } catch {
+        return false;
+      }
+    }));
+    return answers.includes(true);
+  }
+
+  #suspect(id: string): void {
+    if (this.#table.get(id)?.state === "alive") {
+      this.#table.setState(id, "suspect");
+    }
+  }
+
+  /** Milliseconds from suspicion to death; grows with the fleet's size. */
+  #suspicionMs(): number {
+    const size = this.#table.all().length;
+    const stretch = Math.max(1, Math.log(size) / Math.log(SMALL_FLEET));
+    return this.#options.suspectTimeoutMs * stretch;
+  }
+
+  #changed(view: NodeView): void {
+    this.#viewNumber += 1;
+    if (view.state !== "unheard") {
+      this.#news.add(view);
+    }
+    this.#scheduleDeath(view);
+    this.#options.metrics.gauge(
+      "membership.alive",
+      this.#table.all().filter((other) => other.state === "alive").length,
+    );
+    this.#options.logger.debug(
+      { peer: view.id, state: view.state, listed: view.listed },
+      "node changed",
+    );
+    for (const listener of this.#listeners) {
+      listener();
+    }
+  }
+
+  #scheduleDeath(view: NodeView): void {
+    this.#deaths.get(view.id)?.cancel();
+    this.#deaths.delete(view.id);
+    const { clock } = this.#options;
+    if (view.state === "suspect") {
+      const timer = clock.setTimer(
+        this.#suspicionMs(),
+        () => this.#table.setState(view.id, "dead"),
+      );
+      this.#deaths.set(view.id, timer);
+    }
+    if (view.state === "dead" && this.#table.get(view.id) !== undefined) {
+      const timer = clock.setTimer(FORGET_MS, () => this.#forget(view.id));
+      this.#deaths.set(view.id, timer);
+    }
+  }
+
+  #forget(id: string): void {
+    this.#deaths.delete(id);
+    if (this.#table.get(id)?.listed === false) {
+      this.#table.forget(id);
+    }
+  }
+
+  #makeHeartbeat(): peerpb.Heartbeat {
+    const heartbeat = create(peerpb.HeartbeatSchema, {
+      sender: toRecord(this.#table.self),
+      changes: this.#news.take(this.#table.all().length),
+    });
+    for (const contributor of this.#contributors) {
+      contributor.contribute(heartbeat);
+    }
+    return heartbeat;
+  }
+
+  #onHeartbeat(beat: peerpb.Heartbeat): peerpb.Heartbeat {
+    this.#absorb(beat);
+    return this.#makeHeartbeat();
+  }
+
+  #absorb(beat: peerpb.Heartbeat): void {
+    if (beat.sender !== undefined) {
+      this.#clearSuspicion(beat.sender);
+      this.#table.merge(beat.sender);
+    }
+    beat.changes.forEach((record) => this.#table.merge(record));
+    for (const contributor of this.#contributors) {
+      contributor.absorb(beat);
+    }
+  }
+
+  /**
+   * Hearing a node directly outweighs a suspicion of the same incarnation.
+   * The suspicion is told once more, so that the node can refute it.
+   */
+  #clearSuspicion(sender: peerpb.NodeRecord): void {
+    const known = this.#table.get(sender.id);
+    if (known === undefined || sender.state !== peerpb.NodeState.ALIVE) {
+      return;
+    }
+    const held = { ...known };
+    if (held.state === "suspect") {
+      this.#table.setState(sender.id, "alive");
+    }
+    if (held.state === "suspect" || held.state === "dead") {
+      this.#news.add(held);
+    }
+  }
+
+  async #onProbe(req: peerpb.ProbeRequest): Promise<peerpb.ProbeResponse> {
+    const view = this.#table.get(req.targetId);
+    const reachable = view !== undefined && await this.#ping(view);
+    return create(peerpb.ProbeResponseSchema, { reachable });
+  }
+}
--- /dev/null
+++ b/packages/node/src/http_listener.ts
@@ -0,0 +1,82 @@
+import * as http from "node:http";
+import * as https from "node:https";
+import type { AddressInfo } from "node:net";
+import { splitAddress } from "@limpetshed/peer";
+
+/** Certificate and key, PEM texts. */
+export interface ServerTls {
+  cert: string;
+  key: string;
+}
+
+/** Options of {@linkcode HttpListener}. */
+export interface HttpListenerOptions {
+  handler: http.RequestListener;
+  tls?: ServerTls;
+  /** Largest request header in bytes. */
+  maxHeaderBytes: number;
+}
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_MS = 30_000;
+const CLOSE_IDLE_MS = 100;
+
+/** An HTTP server on one address. */
+export class HttpListener {
+  readonly #server: http.Server;
+
+  constructor({ handler, tls, maxHeaderBytes }: HttpListenerOptions) {
+    const options = {
+      maxHeaderSize: maxHeaderBytes,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: 0,
+      noDelay: true,
+    };
+    this.#server = tls === undefined
+      ? http.createServer(options, handler)
+      : https.createServer({ ...options, ...tls }, handler);
+  }
+
+  /** Starts listening on `ip:port`; returns the actual address. */
+  async listen(address: string): Promise<string> {
+    const { host, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
+    });
+    const { port: actual } = this.#server.address() as AddressInfo;
+    return `${host}:${actual}`;
+  }
+
+  /** Takes a new certificate for connections to come. */
+  reloadTls(tls: ServerTls): void {
+    if (this.#server instanceof https.Server) {
+      this.#server.setSecureContext(tls);
+    }
+  }
+
+  /**
+   * Accepts no more connections, finishes open requests and closes each
+   * connection once it is idle.
+   */
+  async drain(): Promise<void> {
+    const closed = new Promise<void>((resolve) =>
+      this.#server.close(() => resolve())
+    );
+    const closeIdle = setInterval(
+      () => this.#server.closeIdleConnections(),
+      CLOSE_IDLE_MS,
+    );
+    await closed;
+    clearInterval(closeIdle);
+  }
+
+  /** Breaks all connections. */
+  abort(): void {
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,5 @@
+/** Assembles one node. */
+export { FleetNode, type FleetNodeOptions } from "./fleet_node.ts";
+export { type ChatRequest, parseChatRequest } from "./chat_request.ts";
+export { RetryBudget } from "./retry_budget.ts";
+export { RunningNode } from "./running_node.ts";
--- /dev/null
+++ b/packages/node/src/make_placement.ts
@@ -0,0 +1,70 @@
+import type { AdmissionClient } from "@limpetshed/admission";
+import { type Clock, repeat } from "@limpetshed/base";
+import type { ConfigSnapshot } from "@limpetshed/config";
+import type { EndpointClient } from "@limpetshed/endpoint";
+import type { EndpointDirectory, Membership } from "@limpetshed/membership";
+import type { Metrics } from "@limpetshed/observe";
+import {
+  BoundedLocalPlacement,
+  type ChatDirectory,
+  OwnerPlacement,
+  type Placement,
+  RendezvousPlacement,
+  TwoChoicesPlacement,
+} from "@limpetshed/placement";
+import type { Settings } from "@limpetshed/settings";
+
+/** What placements are made from. */
+export interface MakePlacementOptions {
+  clock: Clock;
+  metrics: Metrics;
+  membership: Membership;
+  directory: EndpointDirectory;
+  chats: ChatDirectory;
+  admissions: AdmissionClient;
+  client: EndpointClient;
+  config: () => ConfigSnapshot;
+}
+
+const POLL_MS = 1_000;
+
+/** Makes the placement that the settings name. */
+export function makePlacement(
+  policy: Settings["routing"]["policy"],
+  options: MakePlacementOptions,
+): Placement {
+  switch (policy) {
+    case "owner":
+      return new OwnerPlacement(options);
+    case "rendezvous":
+      return new RendezvousPlacement(options);
+    case "bounded_local":
+      return new BoundedLocalPlacement(options);
+    case "two_choices": {
+      const loads = pollLoads(options);
+      return new TwoChoicesPlacement({
+        ...options,
+        reportedLoad: (id) => loads.get(id) ?? 0,
+      });
+    }
+  }
+}
+
+/** Polls every endpoint from this node; only the baseline does so. */
+function pollLoads(
+  { clock, directory, client }: MakePlacementOptions,
+): ReadonlyMap<string, number> {
+  const loads = new Map<string, number>();
+  repeat(clock, async () => {
+    await Promise.all(
+      directory.all().map(async (info) => {
+        const report = await client.readLoad(info, {
+          eventsAfter: Number.MAX_SAFE_INTEGER,
+          timeoutMs: POLL_MS,
+        });
+        loads.set(info.id, report.inFlight);
+      }),
+    );
+  }, { everyMs: POLL_MS, onError: () => undefined });
+  return loads;
+}
--- /dev/null
+++ b/packages/node/src/running_node.ts
@@ -0,0 +1,194 @@
+import {
+  onInvariantBroken,
+  repeat,
+  sleep,
+  SystemClock,
+} from "@limpetshed/base";
+import { HttpEndpointClient } from "@limpetshed/endpoint";
+import { initHashing, Rng } from "@limpetshed/hashing";
+import { type Logger, makeLogger, Metrics } from "@limpetshed/observe";
+import {
+  ConnectPeerTransport,
+  PeerHandlers,
+  PeerServer,
+  splitAddress,
+  WireMeter,
+} from "@limpetshed/peer";
+import type { Settings } from "@limpetshed/settings";
+import { EtcdStore } from "@limpetshed/store";
+import { HttpVmList } from "@limpetshed/vm_list";
+import { randomInt } from "node:crypto";
+import { callersApp } from "./callers_app.ts";
+import { FleetNode } from "./fleet_node.ts";
+import { HttpListener } from "./http_listener.ts";
+import { operatorsApp } from "./operators_app.ts";
+import { RequestGate } from "./request_gate.ts";
+import { SecretFiles } from "./secret_files.ts";
+
+const MAX_SEED = 2 ** 31;
+const OPERATOR_BODY_FACTOR = 4;
+
+/** A node with its listeners on real sockets. */
+export class RunningNode {
+  readonly settings: Settings;
+  readonly node: FleetNode;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  readonly gate: RequestGate;
+  readonly meter = new WireMeter();
+  readonly #clock = new SystemClock();
+  readonly #peers: PeerServer;
+  readonly #callers: HttpListener;
+  readonly #operators: HttpListener;
+  readonly #secrets: SecretFiles;
+  readonly #reloading: { close(): Promise<void> };
+
+  private constructor(settings: Settings) {
+    this.settings = settings;
+    const { node: self, limits, listen, log } = settings;
+    this.logger = makeLogger({
+      level: log.level,
+      fields: { node: self.id, zone: self.availability_zone },
+    });
+    this.metrics = makeMetrics(settings);
+    onInvariantBroken((name, details) => {
+      this.metrics.count("invariant.broken");
+      this.logger.error({ invariant: name, details }, "invariant broken");
+    });
+    this.#secrets = new SecretFiles(settings);
+    const handlers = new PeerHandlers();
+    const credentials = () => this.#secrets.peer;
+    const shared = { metrics: this.metrics, meter: this.meter, credentials };
+    this.#peers = new PeerServer({ ...shared, handlers });
+    this.gate = new RequestGate({
+      maxConcurrent: limits.max_concurrent,
+      maxPerMember: limits.max_concurrent_per_member,
+    });
+    this.node = new FleetNode({
+      settings,
+      address: listen.advertise_peers ?? listen.peers,
+      clock: this.#clock,
+      rng: new Rng(randomInt(MAX_SEED)),
+      logger: this.logger,
+      metrics: this.metrics,
+      store: new EtcdStore({
+        url: settings.platform.store,
+        timeoutMs: settings.platform.store_timeout,
+      }),
+      vmList: new HttpVmList({ url: settings.platform.vm_list }),
+      transport: new ConnectPeerTransport({ ...shared, clock: this.#clock }),
+      handlers,
+      client: new HttpEndpointClient({
+        metrics: this.metrics,
+        firstByteTimeoutMs: limits.first_byte_timeout,
+      }),
+    });
+    const app = {
+      node: this.node,
+      gate: this.gate,
+      settings,
+      clock: this.#clock,
+      logger: this.logger,
+      metrics: this.metrics,
+    };
+    const { callersTls } = this.#secrets;
+    this.#callers = new HttpListener({
+      handler: callersApp(app),
+      ...(callersTls && { tls: callersTls }),
+      maxHeaderBytes: limits.max_header,
+    });
+    this.#operators = new HttpListener({
+      handler: operatorsApp({
+        ...app,
+        keys: () => this.#secrets.operators,
+        maxPatchBytes: OPERATOR_BODY_FACTOR * limits.max_body,
+        wireTotals: () => this.meter.totals(),
+      }),
+      maxHeaderBytes: limits.max_header,
+    });
+    this.#reloading = repeat(this.#clock, () => this.#reload(), {
+      everyMs: settings.tls.reload_interval,
+      onError: (err) => this.logger.warn({ err }, "secrets not reloaded"),
+    });
+  }
+
+  /** Starts a node; nothing stays behind when it cannot start. */
+  static async start(settings: Settings): Promise<RunningNode> {
+    await initHashing();
+    splitAddress(settings.listen.peers);
+    const running = new RunningNode(settings);
+    try {
+      await running.#listen();
+    } catch (err) {
+      await running.#closeAll();
+      throw err;
+    }
+    return running;
+  }
+
+  /**
+   * Stops as planned: says so, keeps accepting while the balancer catches up,
+   * then finishes every request in flight.
+   */
+  async stop(): Promise<void> {
+    const { drain_notice: noticeMs, drain_timeout: timeoutMs } =
+      this.settings.limits;
+    this.logger.info({ open: this.gate.open }, "stopping");
+    await this.node.beginStop();
+    await sleep(this.#clock, noticeMs);
+    const drained = this.#callers.drain();
+    const cutOff = this.#clock.setTimer(timeoutMs, () => this.abort());
+    await this.gate.idle();
+    await drained;
+    cutOff.cancel();
+    await this.#closeAll();
+    this.logger.info("stopped");
+  }
+
+  /** Breaks off all requests at once. */
+  abort(): void {
+    this.#callers.abort();
+  }
+
+  async #listen(): Promise<void> {
+    const { listen } = this.settings;
+    await this.#peers.listen(listen.peers);
+    await this.node.start();
+    const operators = await this.#operators.listen(listen.operators);
+    const callers = await this.#callers.listen(listen.callers);
+    this.logger.info({ callers, operators, peers: listen.peers }, "listening");
+  }
+
+  async #closeAll(): Promise<void> {
+    this.#callers.abort();
+    this.#operators.abort();
+    await Promise.all([
+      this.#callers.drain().catch(() => undefined),
+      this.#operators.drain().catch(() => undefined),
+      this.#reloading.close(),
+    ]);
+    await this.node.close();
+    await this.#peers.close();
+    await this.metrics.close();
+  }
+
+  #reload(): void {
+    if (this.#secrets.reload()) {
+      this.#peers.reloadTls();
+      const { callersTls } = this.#secrets;
+      if (callersTls !== undefined) {
+        this.#callers.reloadTls(callersTls);
+      }
+    }
+  }
+}
+
+function makeMetrics({ metrics, node }: Settings): Metrics {
+  const { statsd, prefix } = metrics;
+  const tags = { node: node.id, zone: node.availability_zone };
+  return new Metrics({
+    prefix,
+    tags,
+    ...(statsd === undefined ? {} : { statsd: splitAddress(statsd) }),
+  });
+}
--- /dev/null
+++ b/packages/observe/src/index.ts
@@ -0,0 +1,18 @@
+/** Structured logs and metrics. */
+export {
+  type Logger,
+  type LoggerOptions,
+  type LogLevel,
+  makeLogger,
+} from "./logger.ts";
+export {
+  METRIC_TABLE,
+  type MetricName,
+  type MetricRow,
+  type MetricType,
+  RETRY_REASONS,
+  type RetryReason,
+  STORE_PURPOSES,
+  type StorePurpose,
+} from "./metric_table.ts";
+export { Metrics, type MetricsOptions } from "./metrics.ts";
--- /dev/null
+++ b/packages/peer/src/connect_peer_transport.ts
@@ -0,0 +1,147 @@
+import * as net from "node:net";
+import * as tls from "node:tls";
+import { type Client, createClient } from "@connectrpc/connect";
+import {
+  createConnectTransport,
+  Http2SessionManager,
+} from "@connectrpc/connect-node";
+import { type Clock, withTimeout } from "@limpetshed/base";
+import { RouterError } from "@limpetshed/errors";
+import type { Metrics } from "@limpetshed/observe";
+import { PeerService } from "./generated/limpetshed/peer/v1/peer_pb.ts";
+import { Link } from "./link.ts";
+import type { FrameBody } from "./messages.ts";
+import { PEER_KEY_HEADER, type PeerCredentials } from "./peer_credentials.ts";
+import { PeerTransport } from "./peer_transport.ts";
+import type { WireMeter } from "./wire_meter.ts";
+
+/** Options of {@linkcode ConnectPeerTransport}. */
+export interface ConnectPeerTransportOptions {
+  clock: Clock;
+  metrics: Metrics;
+  credentials: () => PeerCredentials;
+  meter: WireMeter;
+}
+
+interface OpenLink {
+  link: Link;
+  sessions: Http2SessionManager;
+}
+
+const SESSION_OPTIONS = {
+  idleConnectionTimeoutMs: 60_000,
+};
+
+/** Requests to peers over one kept connect-es stream per peer. */
+export class ConnectPeerTransport extends PeerTransport {
+  readonly #options: ConnectPeerTransportOptions;
+  readonly #links = new Map<string, OpenLink>();
+  #closed = false;
+
+  constructor(options: ConnectPeerTransportOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Number of open links. */
+  get linkCount(): number {
+    return this.#links.size;
+  }
+
+  async close(): Promise<void> {
+    this.#closed = true;
+    const open = [...this.#links.values()];
+    open.forEach(({ link, sessions }) => {
+      link.close();
+      sessions.abort();
+    });
+    await Promise.all(open.map(({ link }) => link.ended));
+  }
+
+  protected async exchange(
+    address: string,
+    body: FrameBody,
+    { timeoutMs }: { timeoutMs: number },
+  ): Promise<FrameBody> {
+    if (this.#closed) {
+      throw new RouterError("peer_unreachable", "this node is closing");
+    }
+    const { link } = this.#link(address);
+    const { id, answer } = link.request(body);
+    try {
+      return await withTimeout(this.#options.clock, answer, {
+        ms: timeoutMs,
+        onTimeout: () =>
+          new RouterError("peer_unreachable", "the peer did not answer"),
+      });
+    } finally {
+      link.forget(id);
+    }
+  }
+
+  #link(address: string): OpenLink {
+    const known = this.#links.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const { metrics } = this.#options;
+    const credentials = this.#options.credentials();
+    const { client, sessions } = this.#client(address, credentials);
+    const headers = { [PEER_KEY_HEADER]: credentials.key };
+    const link = new Link({
+      open: (outgoing) => client.link(outgoing, { headers }),
+      onFrame: (direction, bytes) => {
+        metrics.count(`peer.frames_${direction}`);
+        metrics.count(`peer.bytes_${direction}`, bytes);
+      },
+    });
+    const opened = { link, sessions };
+    this.#links.set(address, opened);
+    void link.ended.then(() => {
+      sessions.abort();
+      if (this.#links.get(address) === opened) {
+        this.#links.delete(address);
+      }
+    });
+    return opened;
+  }
+
+  #client(address: string, { tls: material }: PeerCredentials): {
+    client: Client<typeof PeerService>;
+    sessions: Http2SessionManager;
+  } {
+    const scheme = material === undefined ? "http" : "https";
+    const url = `${scheme}://${address}`;
+    const { host, port } = splitAddress(address);
+    const sessions = new Http2SessionManager(url, SESSION_OPTIONS, {
+      createConnection: () => {
+        const socket = material === undefined
+          ? net.connect({ host, port, noDelay: true })
+          : tls.connect({
+            host,
+            port,
+            ca: material.ca,
+            cert: material.cert,
+            key: material.key,
+            ALPNProtocols: ["h2"],
+            checkServerIdentity: () => undefined,
+          });
+        this.#options.meter.track(socket);
+        return socket;
+      },
+    });
+    const transport = createConnectTransport({
+      httpVersion: "2",
+      baseUrl: url,
+      sessionManager: sessions,
+    });
+    return { client: createClient(PeerService, transport), sessions };
+  }
+}
+
+/** Splits `ip:port`; an IPv6 address stands in brackets. */
+export function splitAddress(address: string): { host: string; port: number } {
+  const at = address.lastIndexOf(":");
+  const host = address.slice(0, at).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(at + 1)) };
+}
--- /dev/null
+++ b/packages/peer/src/fake_peer_network.ts
@@ -0,0 +1,115 @@
+import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
+import { type Clock, sleep, withTimeout } from "@limpetshed/base";
+import { RouterError } from "@limpetshed/errors";
+import { FrameSchema } from "./generated/limpetshed/peer/v1/peer_pb.ts";
+import type { FrameBody } from "./messages.ts";
+import type { PeerHandlers } from "./peer_handlers.ts";
+import { PeerTransport } from "./peer_transport.ts";
+
+/** Nodes of one test process that reach each other without sockets. */
+export class FakePeerNetwork {
+  readonly #clock: Clock;
+  readonly #nodes = new Map<string, PeerHandlers>();
+  readonly #gates = new Map<string, () => Promise<void>>();
+  /** `from|to` address pairs whose messages are lost. */
+  readonly cut = new Set<string>();
+  /** Chooses the delay of each message in milliseconds. */
+  delayMs: () => number = () => 1;
+  /** Frames and bytes sent so far. */
+  frames = 0;
+  bytes = 0;
+
+  constructor({ clock }: { clock: Clock }) {
+    this.#clock = clock;
+  }
+
+  /** Adds a node or replaces it; `gate` holds messages while it is paused. */
+  attach(
+    address: string,
+    handlers: PeerHandlers,
+    { gate = () => Promise.resolve() }: { gate?: () => Promise<void> } = {},
+  ): void {
+    this.#nodes.set(address, handlers);
+    this.#gates.set(address, gate);
+  }
+
+  /** Removes a node, as a crash does. */
+  detach(address: string): void {
+    this.#nodes.delete(address);
+  }
+
+  /** The transport of the node at `address`. */
+  transport(address: string): PeerTransport {
+    return new FakePeerTransport(this, { from: address, clock: this.#clock });
+  }
+
+  /** Carries one frame and its answer. */
+  async carry(from: string, to: string, body: FrameBody): Promise<FrameBody> {
+    const request = this.#encode(body);
+    await sleep(this.#clock, this.delayMs());
+    const handlers = this.#nodes.get(to);
+    if (handlers === undefined) {
+      throw new RouterError("peer_unreachable", "connection refused");
+    }
+    await this.#deliver(from, to);
+    const answer = this.#encode(await handlers.answer(request));
+    await sleep(this.#clock, this.delayMs());
+    await this.#deliver(to, from);
+    return answer;
+  }
+
+  /** Waits while the receiver is paused; never resolves for a lost message. */
+  async #deliver(from: string, to: string): Promise<void> {
+    if (this.cut.has(`${from}|${to}`) || !this.#nodes.has(from)) {
+      await new Promise<never>(() => undefined);
+    }
+    await this.#gates.get(to)?.();
+    if (!this.#nodes.has(to)) {
+      await new Promise<never>(() => undefined);
+    }
+  }
+
+  #encode(body: FrameBody): FrameBody {
+    const bytes = toBinary(FrameSchema, create(FrameSchema, { id: 1n, body }));
+    this.frames += 1;
+    this.bytes += bytes.length;
+    const decoded = fromBinary(FrameSchema, bytes).body;
+    if (decoded.case === undefined) {
+      throw new RouterError("invalid_request", "empty frame");
+    }
+    return decoded;
+  }
+}
+
+class FakePeerTransport extends PeerTransport {
+  readonly #network: FakePeerNetwork;
+  readonly #from: string;
+  readonly #clock: Clock;
+
+  constructor(
+    network: FakePeerNetwork,
+    { from, clock }: { from: string; clock: Clock },
+  ) {
+    super();
+    this.#network = network;
+    this.#from = from;
+    this.#clock = clock;
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  protected async exchange(
+    address: string,
+    body: FrameBody,
+    { timeoutMs }: { timeoutMs: number },
+  ): Promise<FrameBody> {
+    const carried = this.#network.carry(this.#from, address, body);
+    return await withTimeout(this.#clock, carried, {
+      ms: timeoutMs,
+      onTimeout: () =>
+        new RouterError("peer_unreachable", "the peer did not answer"),
+    });
+  }
+}
--- /dev/null
+++ b/packages/peer/src/index.ts
@@ -0,0 +1,25 @@
+/** Messages between nodes and the links that carry them. */
+export {
+  ConnectPeerTransport,
+  type ConnectPeerTransportOptions,
+  splitAddress,
+} from "./connect_peer_transport.ts";
+export { FakePeerNetwork } from "./fake_peer_network.ts";
+export * as peerpb from "./generated/limpetshed/peer/v1/peer_pb.ts";
+export {
+  type FrameBody,
+  type MessageOf,
+  type RequestName,
+  RESPONSE_NAMES,
+  type ResponseOf,
+} from "./messages.ts";
+export {
+  PEER_KEY_HEADER,
+  type PeerCredentials,
+  type PeerTls,
+  secretsEqual,
+} from "./peer_credentials.ts";
+export { type PeerHandler, PeerHandlers } from "./peer_handlers.ts";
+export { PeerServer, type PeerServerOptions } from "./peer_server.ts";
+export { PeerTransport } from "./peer_transport.ts";
+export { WireMeter } from "./wire_meter.ts";
--- /dev/null
+++ b/packages/peer/src/peer_server.ts
@@ -0,0 +1,148 @@
+import * as http2 from "node:http2";
+import type { AddressInfo, Socket } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError, type HandlerContext } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { AsyncQueue } from "@limpetshed/base";
+import { toRouterError } from "@limpetshed/errors";
+import type { Metrics } from "@limpetshed/observe";
+import {
+  type Frame,
+  FrameSchema,
+  PeerService,
+} from "./generated/limpetshed/peer/v1/peer_pb.ts";
+import { frameBytes } from "./link.ts";
+import {
+  PEER_KEY_HEADER,
+  type PeerCredentials,
+  secretsEqual,
+} from "./peer_credentials.ts";
+import type { PeerHandlers } from "./peer_handlers.ts";
+import type { WireMeter } from "./wire_meter.ts";
+import { splitAddress } from "./connect_peer_transport.ts";
+
+/** Options of {@linkcode PeerServer}. */
+export interface PeerServerOptions {
+  handlers: PeerHandlers;
+  credentials: () => PeerCredentials;
+  metrics: Metrics;
+  meter: WireMeter;
+}
+
+const MAX_FRAME_BYTES = 4 * 1_048_576;
+
+/** Answers the requests of peers that hold the fleet's key. */
+export class PeerServer {
+  readonly #options: PeerServerOptions;
+  readonly #server: http2.Http2Server | http2.Http2SecureServer;
+  readonly #sessions = new Set<http2.ServerHttp2Session>();
+
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
+    const adapter = connectNodeAdapter({
+      readMaxBytes: MAX_FRAME_BYTES,
+      routes: (router) => {
+        router.service(PeerService, {
+          link: (frames, context) => this.#serve(frames, context),
+        });
+      },
+    });
+    const { tls } = options.credentials();
+    this.#server = tls === undefined
+      ? http2.createServer(adapter)
+      : http2.createSecureServer({
+        ...tls,
+        requestCert: true,
+        rejectUnauthorized: true,
+      }, adapter);
+    const event = tls === undefined ? "connection" : "secureConnection";
+    this.#server.on(event, (socket: Socket) => options.meter.track(socket));
+    this.#server.on("session", (session) => {
+      this.#sessions.add(session);
+      session.on("close", () => this.#sessions.delete(session));
+      session.on("error", () => undefined);
+    });
+  }
+
+  /** Starts listening on `ip:port`; returns the actual address. */
+  async listen(address: string): Promise<string> {
+    const { host, port } = splitAddress(address);
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+    const { port: actual } = this.#server.address() as AddressInfo;
+    return `${host}:${actual}`;
+  }
+
+  /** Takes new TLS material for connections to come. */
+  reloadTls(): void {
+    const { tls } = this.#options.credentials();
+    if (tls !== undefined && "setSecureContext" in this.#server) {
+      this.#server.setSecureContext(tls);
+    }
+  }
+
+  /** Stops listening and breaks all links. */
+  async close(): Promise<void> {
+    for (const session of this.#sessions) {
+      session.destroy();
+    }
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  async *#serve(
+    frames: AsyncIterable<Frame>,
+    context: HandlerContext,
+  ): AsyncIterable<Frame> {
+    const shown = context.requestHeader.get(PEER_KEY_HEADER) ?? "";
+    if (!secretsEqual(shown, this.#options.credentials().key)) {
+      throw new ConnectError("wrong peer key", Code.Unauthenticated);
+    }
+    const answers = new AsyncQueue<Frame>();
+    const reading = this.#readFrames(frames, answers);
+    yield* answers;
+    await reading;
+  }
+
+  async #readFrames(
+    frames: AsyncIterable<Frame>,
+    answers: AsyncQueue<Frame>,
+  ): Promise<void> {
+    try {
+      for await (const frame of frames) {
+        this.#count("received", frame);
+        void this.#answer(frame).then((answer) => {
+          this.#count("sent", answer);
+          answers.push(answer);
+        });
+      }
+    } catch {
+      // The peer went away; the answers still pending go nowhere.
+    } finally {
+      answers.close();
+    }
+  }
+
+  async #answer({ id, body }: Frame): Promise<Frame> {
+    try {
+      if (body.case === undefined) {
+        return failureFrame(id, "invalid_request");
+      }
+      const answer = await this.#options.handlers.answer(body);
+      return create(FrameSchema, { id, body: answer });
+    } catch (err) {
+      return failureFrame(id, toRouterError(err).kind);
+    }
+  }
+
+  #count(direction: "sent" | "received", frame: Frame): void {
+    const { metrics } = this.#options;
+    metrics.count(`peer.frames_${direction}`);
+    metrics.count(`peer.bytes_${direction}`, frameBytes(frame));
+  }
+}
+
+function failureFrame(id: bigint, kind: string): Frame {
+  return create(FrameSchema, { id, body: { case: "failure", value: kind } });
+}
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,23 @@
+/** Where a chat goes. */
+export {
+  type BaselineOptions,
+  BoundedLocalPlacement,
+  RendezvousPlacement,
+  TwoChoicesPlacement,
+} from "./baseline_placements.ts";
+export {
+  ChatDirectory,
+  type ChatDirectoryOptions,
+  type ChatKnowledge,
+} from "./chat_directory.ts";
+export { type ChatKeyInput, type ChatKeys, chatKeys } from "./chat_keys.ts";
+export {
+  OwnerPlacement,
+  type OwnerPlacementOptions,
+} from "./owner_placement.ts";
+export {
+  type Place,
+  Placement,
+  type PlaceOutcome,
+  type PlaceRequest,
+} from "./placement.ts";
--- /dev/null
+++ b/packages/settings/src/settings_reference.ts
@@ -0,0 +1,49 @@
+import { z } from "zod";
+import { settingsSchema } from "./settings_schema.ts";
+
+interface SchemaNode {
+  description?: string;
+  type?: string;
+  enum?: unknown[];
+  properties?: Record<string, SchemaNode>;
+  required?: string[];
+}
+
+/** Makes the settings reference page, in Markdown, from the schema. */
+export function settingsReference(): string {
+  const root = z.toJSONSchema(settingsSchema, {
+    io: "input",
+    unrepresentable: "any",
+  }) as SchemaNode;
+  const lines = [
+    "# Settings",
+    "",
+    "Made from the schema by `limpetshed check-settings --reference`; a test",
+    "keeps it current. Durations need a unit (`250ms`, `30s`), sizes too",
+    "(`64KiB`).",
+    "",
+    "| key | kind | required | meaning |",
+    "| --- | --- | --- | --- |",
+  ];
+  addRows(lines, root, []);
+  return lines.join("\n") + "\n";
+}
+
+function addRows(lines: string[], node: SchemaNode, path: string[]): void {
+  for (const [key, child] of Object.entries(node.properties ?? {})) {
+    const childPath = [...path, key];
+    if (child.properties !== undefined) {
+      addRows(lines, child, childPath);
+      continue;
+    }
+    const kind = child.enum === undefined
+      ? child.type ?? "text"
+      : child.enum.map((value) => `\`${String(value)}\``).join(", ");
+    const required = node.required?.includes(key) === true ? "yes" : "no";
+    lines.push(
+      `| \`${childPath.join(".")}\` | ${kind} | ${required} | ${
+        child.description ?? ""
+      } |`,
+    );
+  }
+}
--- /dev/null
+++ b/packages/shares/src/member_queue.ts
@@ -0,0 +1,106 @@
+import { type Clock, type Deferred, deferred } from "@limpetshed/base";
+import { RouterError } from "@limpetshed/errors";
+
+/** The place at the head of a member's queue. */
+export interface Turn {
+  /** Lets the member's next request come to the head. */
+  leave(): void;
+}
+
+/** Options of {@linkcode MemberQueue}. */
+export interface MemberQueueOptions {
+  clock: Clock;
+  /** Most requests of one member waiting. */
+  maxPerMember?: number;
+}
+
+/**
+ * Requests that wait for a share or for idle capacity: one bounded queue per
+ * member, whose head alone tries again. Every waiting member tries at the
+ * same pace, so a member with many waiting delays only itself.
+ */
+export class MemberQueue {
+  readonly #clock: Clock;
+  readonly #maxPerMember: number;
+  readonly #queues = new Map<string, Deferred<void>[]>();
+
+  constructor({ clock, maxPerMember = 64 }: MemberQueueOptions) {
+    this.#clock = clock;
+    this.#maxPerMember = maxPerMember;
+  }
+
+  /** Requests of one member waiting, the head included. */
+  sizeOf(member: string): number {
+    return this.#queues.get(member)?.length ?? 0;
+  }
+
+  /**
+   * Waits until the request is at the head of its member's queue.
+   *
+   * @throws RouterError `queue_full` at once when the queue is full,
+   *   `share_exhausted` when `maxWaitMs` passed, `caller_cancelled`.
+   */
+  async enter(member: string, { maxWaitMs, signal }: {
+    maxWaitMs: number;
+    signal: AbortSignal;
+  }): Promise<Turn> {
+    const queue = this.#queues.get(member) ?? [];
+    if (queue.length >= this.#maxPerMember) {
+      throw new RouterError(
+        "queue_full",
+        "too many requests of this member are waiting",
+        { retryAfterMs: maxWaitMs },
+      );
+    }
+    const place = deferred<void>();
+    queue.push(place);
+    this.#queues.set(member, queue);
+    if (queue[0] === place) {
+      place.resolve();
+    }
+    const timer = this.#clock.setTimer(
+      maxWaitMs,
+      () => place.reject(shareExhausted(maxWaitMs)),
+    );
+    const onAbort = () => place.reject(cancelled());
+    signal.addEventListener("abort", onAbort, { once: true });
+    try {
+      await place.promise;
+    } catch (err) {
+      this.#leave(member, place);
+      throw err;
+    } finally {
+      timer.cancel();
+      signal.removeEventListener("abort", onAbort);
+    }
+    return { leave: () => this.#leave(member, place) };
+  }
+
+  #leave(member: string, place: Deferred<void>): void {
+    const queue = this.#queues.get(member);
+    const at = queue?.indexOf(place) ?? -1;
+    if (queue === undefined || at < 0) {
+      return;
+    }
+    queue.splice(at, 1);
+    if (queue.length === 0) {
+      this.#queues.delete(member);
+    }
+    queue[0]?.resolve();
+  }
+}
+
+/** The refusal of work above the share when no capacity is idle. */
+export function shareExhausted(retryAfterMs: number): RouterError {
+  return new RouterError(
+    "share_exhausted",
+    "the member's share is spent and no capacity is idle",
+    { retryAfterMs },
+  );
+}
+
+function cancelled(): RouterError {
+  return new RouterError("caller_cancelled", "the caller went away", {
+    run: "not-run",
+  });
+}
--- /dev/null
+++ b/packages/stand_ins/src/chat_body.ts
@@ -0,0 +1,28 @@
+import type { WorkPriority } from "@limpetshed/endpoint";
+import type { RunRequest } from "./model_engine.ts";
+import type { ChatMessage } from "./prefix_cache.ts";
+
+const DEFAULT_MAX_TOKENS = 16;
+
+interface ChatBody {
+  messages?: ChatMessage[];
+  max_tokens?: number;
+  stream?: boolean;
+}
+
+/** Reads what the model stand-in needs from a chat's body. */
+export function parseRun(body: string, { requestId, priority, chatKey }: {
+  requestId: string;
+  priority: WorkPriority;
+  chatKey: string;
+}): RunRequest & { stream: boolean } {
+  const parsed = JSON.parse(body) as ChatBody;
+  return {
+    requestId,
+    priority,
+    chatKey,
+    messages: parsed.messages ?? [],
+    maxTokens: parsed.max_tokens ?? DEFAULT_MAX_TOKENS,
+    stream: parsed.stream ?? false,
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/etcd_stand_in.ts
@@ -0,0 +1,234 @@
+import * as http2 from "node:http2";
+import type { AddressInfo } from "node:net";
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { AsyncQueue, type Clock, sleep } from "@limpetshed/base";
+import { etcd, type StoreChange, type StoreEntry } from "@limpetshed/store";
+import type { KvEngine } from "./kv_engine.ts";
+import { type KvFaults, noKvFaults } from "./kv_faults.ts";
+import { toTransaction } from "./etcd_messages.ts";
+
+const MS_PER_SECOND = 1_000;
+const decoder = new TextDecoder();
+const encoder = new TextEncoder();
+
+/** Options of {@linkcode EtcdStandIn}. */
+export interface EtcdStandInOptions {
+  engine: KvEngine;
+  clock: Clock;
+  faults?: KvFaults;
+}
+
+/** Serves the engine over the etcd v3 gRPC interface on loopback. */
+export class EtcdStandIn {
+  readonly faults: KvFaults;
+  readonly #engine: KvEngine;
+  readonly #clock: Clock;
+  readonly #server: http2.Http2Server;
+  readonly #sessions = new Set<http2.ServerHttp2Session>();
+  readonly #calls = new Map<string, number>();
+
+  constructor({ engine, clock, faults = noKvFaults() }: EtcdStandInOptions) {
+    this.#engine = engine;
+    this.#clock = clock;
+    this.faults = faults;
+    this.#server = http2.createServer(
+      connectNodeAdapter({ routes: (router) => this.#routes(router) }),
+    );
+    this.#server.on("session", (session) => {
+      this.#sessions.add(session);
+      session.on("close", () => this.#sessions.delete(session));
+    });
+  }
+
+  /** Starts listening; returns the address as a URL. */
+  async listen(port = 0): Promise<string> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(port, "127.0.0.1", resolve)
+    );
+    const { port: actual } = this.#server.address() as AddressInfo;
+    return `http://127.0.0.1:${actual}`;
+  }
+
+  /** Calls received so far, by method, each watch as one. */
+  get calls(): Record<string, number> {
+    return Object.fromEntries(this.#calls);
+  }
+
+  /** Breaks every open connection, watches included. */
+  breakConnections(): void {
+    for (const session of this.#sessions) {
+      session.destroy();
+    }
+  }
+
+  /** Stops the server. */
+  async close(): Promise<void> {
+    this.#engine.close();
+    this.breakConnections();
+    await new Promise<void>((resolve) => this.#server.close(() => resolve()));
+  }
+
+  #routes(router: ConnectRouter): void {
+    router.service(etcd.KV, {
+      range: (req) => this.#answer("range", "read", () => this.#range(req)),
+      put: (req) => this.#answer("put", "write", () => this.#put(req)),
+      txn: (req) => this.#answer("txn", "write", () => this.#txn(req)),
+    });
+    router.service(etcd.Lease, {
+      leaseGrant: (req) =>
+        this.#answer("lease_grant", "write", () => ({
+          header: this.#header(),
+          ID: this.#engine.grantLease(Number(req.TTL) * MS_PER_SECOND),
+          TTL: req.TTL,
+        })),
+      leaseRevoke: (req) =>
+        this.#answer("lease_revoke", "write", () => {
+          this.#engine.endLease(req.ID);
+          return { header: this.#header() };
+        }),
+      leaseKeepAlive: (requests) => this.#keepAlive(requests),
+    });
+    router.service(etcd.Watch, {
+      watch: (requests, context) => this.#watch(requests, context.signal),
+    });
+  }
+
+  #range(req: etcd.RangeRequest) {
+    const key = decoder.decode(req.key);
+    const entries = req.rangeEnd.length === 0
+      ? [this.#engine.get(key)].flatMap((entry) => entry ?? [])
+      : this.#engine.range(key, decoder.decode(req.rangeEnd));
+    return {
+      header: this.#header(),
+      kvs: entries.map(toKeyValue),
+      count: BigInt(entries.length),
+    };
+  }
+
+  #put(req: etcd.PutRequest) {
+    const key = decoder.decode(req.key);
+    const { value, lease: leaseId } = req;
+    this.#engine.transact({
+      conditions: [],
+      writes: [{ kind: "put", key, value, leaseId }],
+    });
+    return { header: this.#header() };
+  }
+
+  #txn(req: etcd.TxnRequest) {
+    const result = this.#engine.transact(toTransaction(req));
+    const ops = result.succeeded ? req.success : req.failure;
+    return {
+      header: this.#header(),
+      succeeded: result.succeeded,
+      responses: ops.map((op) =>
+        create(etcd.ResponseOpSchema, {
+          response: op.request.case === "requestRange"
+            ? { case: "responseRange", value: this.#range(op.request.value) }
+            : { case: "responsePut", value: {} },
+        })
+      ),
+    };
+  }
+
+  async *#keepAlive(requests: AsyncIterable<etcd.LeaseKeepAliveRequest>) {
+    for await (const req of requests) {
+      yield await this.#answer("lease_keep_alive", "write", () => ({
+        header: this.#header(),
+        ID: req.ID,
+        TTL: BigInt(Math.ceil(this.#engine.keepAlive(req.ID) / MS_PER_SECOND)),
+      }));
+    }
+  }
+
+  async *#watch(
+    requests: AsyncIterable<etcd.WatchRequest>,
+    signal: AbortSignal,
+  ) {
+    this.#count("watch");
+    const queue = new AsyncQueue<StoreChange>();
+    const unwatch: (() => void)[] = [];
+    signal.addEventListener("abort", () => queue.close());
+    void (async () => {
+      for await (const { requestUnion } of requests) {
+        if (requestUnion.case === "createRequest") {
+          const key = decoder.decode(requestUnion.value.key);
+          unwatch.push(
+            this.#engine.watch(key, (change) => queue.push(change)),
+          );
+        }
+      }
+      queue.close();
+    })().catch(() => queue.close());
+    try {
+      yield { created: true, header: this.#header() };
+      for await (const change of queue) {
+        if (this.faults.down) {
+          throw new ConnectError("down", Code.Unavailable);
+        }
+        yield { header: this.#header(), events: [toEvent(change)] };
+      }
+    } finally {
+      unwatch.forEach((end) => end());
+    }
+  }
+
+  async #answer<T>(
+    method: string,
+    call: "read" | "write",
+    action: () => T,
+  ): Promise<T> {
+    this.#count(method);
+    if (this.faults.delayMs > 0) {
+      await sleep(this.#clock, this.faults.delayMs);
+    }
+    const fault = this.faults.down ? "down" : this.faults.choose(call);
+    switch (fault) {
+      case "none":
+        return action();
+      case "down":
+        throw new ConnectError("down", Code.Unavailable);
+      case "rate_limited":
+        throw new ConnectError("rate limit", Code.ResourceExhausted);
+      case "answer_lost":
+        action();
+        throw new ConnectError("answer lost", Code.Unavailable);
+      case "late_effect":
+        this.#clock.setTimer(this.faults.lateEffectMs, () => void action());
+        throw new ConnectError("answer lost", Code.Unavailable);
+    }
+  }
+
+  #count(method: string): void {
+    this.#calls.set(method, (this.#calls.get(method) ?? 0) + 1);
+  }
+
+  #header(): etcd.ResponseHeader {
+    return create(etcd.ResponseHeaderSchema, {
+      revision: this.#engine.revision,
+    });
+  }
+}
+
+function toKeyValue(entry: StoreEntry): etcd.KeyValue {
+  return create(etcd.KeyValueSchema, {
+    key: encoder.encode(entry.key),
+    value: entry.value,
+    modRevision: entry.modRevision,
+    lease: entry.leaseId,
+  });
+}
+
+function toEvent(change: StoreChange) {
+  const deleted = change.value === undefined;
+  return {
+    type: deleted ? etcd.Event_EventType.DELETE : etcd.Event_EventType.PUT,
+    kv: {
+      key: encoder.encode(change.key),
+      value: change.value ?? new Uint8Array(),
+      modRevision: change.modRevision,
+    },
+  };
+}
--- /dev/null
+++ b/packages/stand_ins/src/fake_store.ts
@@ -0,0 +1,167 @@
+import { AsyncQueue, type Clock, sleep } from "@limpetshed/base";
+import { RouterError } from "@limpetshed/errors";
+import {
+  Store,
+  type StoreChange,
+  type StoreEntry,
+  type StoreLease,
+  type StoreTransaction,
+  type StoreTransactionResult,
+} from "@limpetshed/store";
+import type { KvEngine } from "./kv_engine.ts";
+import { type KvFaults, noKvFaults } from "./kv_faults.ts";
+
+/** The store interface straight over the stand-in's engine, with faults. */
+export class FakeStore extends Store {
+  readonly faults: KvFaults;
+  readonly #engine: KvEngine;
+  readonly #clock: Clock;
+  readonly #breakWatches = new Set<(err: Error) => void>();
+  readonly #gate: () => Promise<void>;
+  #calls = 0;
+
+  /** `gate` holds answers back while the node that asked is paused. */
+  constructor({
+    engine,
+    clock,
+    faults = noKvFaults(),
+    gate = () => Promise.resolve(),
+  }: {
+    engine: KvEngine;
+    clock: Clock;
+    faults?: KvFaults;
+    gate?: () => Promise<void>;
+  }) {
+    super();
+    this.#engine = engine;
+    this.#clock = clock;
+    this.faults = faults;
+    this.#gate = gate;
+  }
+
+  /** Calls received so far, each watch as one. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  async get(key: string): Promise<StoreEntry | undefined> {
+    return await this.#read(() => this.#engine.get(key));
+  }
+
+  async list(prefix: string): Promise<StoreEntry[]> {
+    return await this.#read(() => this.#engine.list(prefix));
+  }
+
+  async transact(txn: StoreTransaction): Promise<StoreTransactionResult> {
+    return await this.#write(() => this.#engine.transact(txn));
+  }
+
+  async grantLease(ttlMs: number): Promise<StoreLease> {
+    return await this.#write(() => ({
+      id: this.#engine.grantLease(ttlMs),
+      ttlMs,
+    }));
+  }
+
+  async keepAlive(id: bigint): Promise<boolean> {
+    return await this.#write(() => this.#engine.keepAlive(id) > 0);
+  }
+
+  async revokeLease(id: bigint): Promise<void> {
+    await this.#write(() => this.#engine.endLease(id));
+  }
+
+  async *watch(
+    key: string,
+    { signal, onOpen }: { signal: AbortSignal; onOpen?: () => void },
+  ): AsyncIterable<StoreChange> {
+    this.#calls += 1;
+    if (this.faults.down) {
+      throw unavailable();
+    }
+    const queue = new AsyncQueue<StoreChange>();
+    let broken: Error | undefined;
+    const breakWatch = (err: Error) => {
+      broken = err;
+      queue.close();
+    };
+    const unwatch = this.#engine.watch(key, (change) => {
+      if (!this.faults.down) {
+        queue.push(change);
+      }
+    });
+    this.#breakWatches.add(breakWatch);
+    signal.addEventListener("abort", () => queue.close(), { once: true });
+    onOpen?.();
+    try {
+      yield* queue;
+      if (broken !== undefined) {
+        throw broken;
+      }
+    } finally {
+      unwatch();
+      this.#breakWatches.delete(breakWatch);
+    }
+  }
+
+  /** Ends every watch with an error, as a lost connection does. */
+  breakWatches(): void {
+    for (const breakWatch of [...this.#breakWatches]) {
+      breakWatch(unavailable());
+    }
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  async #read<T>(action: () => T): Promise<T> {
+    const fault = await this.#begin("read");
+    if (fault !== "none") {
+      throw unavailable();
+    }
+    const value = action();
+    await this.#gate();
+    return value;
+  }
+
+  async #write<T>(action: () => T): Promise<T> {
+    const fault = await this.#begin("write");
+    switch (fault) {
+      case "none": {
+        const value = action();
+        await this.#gate();
+        return value;
+      }
+      case "down":
+      case "rate_limited":
+        throw unavailable();
+      case "answer_lost":
+        action();
+        await this.#gate();
+        throw outcomeUnknown();
+      case "late_effect":
+        this.#clock.setTimer(this.faults.lateEffectMs, () => action());
+        throw outcomeUnknown();
+    }
+  }
+
+  async #begin(call: "read" | "write") {
+    this.#calls += 1;
+    if (this.faults.delayMs > 0) {
+      await sleep(this.#clock, this.faults.delayMs);
+    }
+    return this.faults.down ? "down" : this.faults.choose(call);
+  }
+}
+
+function unavailable(): RouterError {
+  return new RouterError("store_unavailable", "the store does not answer");
+}
+
+function outcomeUnknown(): RouterError {
+  return new RouterError(
+    "store_outcome_unknown",
+    "the store's answer to a write did not arrive",
+  );
+}
--- /dev/null
+++ b/packages/stand_ins/src/plain_server.ts
@@ -0,0 +1,33 @@
+import { NOT_RUN_HEADER, REQUEST_ID_HEADER } from "@limpetshed/endpoint";
+import { readBody, sendJson, StandInServer } from "./http_server.ts";
+import type { PlainEngine } from "./plain_engine.ts";
+import { plainReport } from "./plain_report.ts";
+
+/** Request header that names what a call to the plain stand-in is about. */
+export const REFERENCE_HEADER = "x-reference";
+
+/** Serves a {@linkcode PlainEngine} over HTTP. */
+export function plainServer(engine: PlainEngine): StandInServer {
+  return new StandInServer(async (req, res) => {
+    if (req.url?.startsWith("/load") === true) {
+      sendJson(res, 200, plainReport(engine));
+      return;
+    }
+    const body = await readBody(req);
+    const reference = req.headers[REFERENCE_HEADER];
+    const requestId = req.headers[REQUEST_ID_HEADER];
+    try {
+      const result = await engine.call(
+        typeof reference === "string" ? reference : body,
+      );
+      res.writeHead(result.status, {
+        "content-type": "application/json",
+        [REQUEST_ID_HEADER]: typeof requestId === "string" ? requestId : "",
+        ...(result.notRun ? { [NOT_RUN_HEADER]: "true" } : {}),
+      });
+      res.end(result.body);
+    } catch {
+      req.socket.destroy();
+    }
+  });
+}
--- /dev/null
+++ b/packages/stand_ins/src/prefix_cache.ts
@@ -0,0 +1,102 @@
+import { hash64 } from "@limpetshed/hashing";
+
+/** One message of a chat. */
+export interface ChatMessage {
+  role: string;
+  content: string;
+}
+
+/** A cached message of a chat. */
+export interface CachedBlock {
+  tokens: number;
+  chatKey: string;
+}
+
+const CHARS_PER_TOKEN = 4;
+
+/** Tokens of a text as the stand-in counts them. */
+export function countTokens(text: string): number {
+  return Math.max(1, Math.ceil(text.length / CHARS_PER_TOKEN));
+}
+
+/**
+ * A limited cache of prompt prefixes, message by message; the least recently
+ * used blocks go first.
+ */
+export class PrefixCache {
+  readonly #capacityTokens: number;
+  readonly #blocks = new Map<string, CachedBlock>();
+  #usedTokens = 0;
+  /** Called with the chat key of each evicted block. */
+  onEvict: (chatKey: string) => void = () => undefined;
+
+  constructor({ capacityTokens }: { capacityTokens: number }) {
+    this.#capacityTokens = capacityTokens;
+  }
+
+  /** Tokens of the longest cached prefix; touches nothing. */
+  peek(messages: readonly ChatMessage[]): number {
+    let cached = 0;
+    for (const { key, tokens } of blockKeys(messages)) {
+      if (!this.#blocks.has(key)) {
+        break;
+      }
+      cached += tokens;
+    }
+    return cached;
+  }
+
+  /** Stores a chat's messages and marks them as just used. */
+  store(messages: readonly ChatMessage[], chatKey: string): void {
+    for (const { key, tokens } of blockKeys(messages)) {
+      if (this.#blocks.delete(key)) {
+        this.#usedTokens -= tokens;
+      }
+      this.#blocks.set(key, { tokens, chatKey });
+      this.#usedTokens += tokens;
+    }
+    this.#shrink(this.#capacityTokens);
+  }
+
+  /** Evicts blocks until at most `fraction` of the capacity is used. */
+  evictTo(fraction: number): void {
+    this.#shrink(this.#capacityTokens * fraction);
+  }
+
+  /** The messages' block keys of a chat, for export. */
+  exportChats(chatKeys: ReadonlySet<string>): [string, CachedBlock][] {
+    return [...this.#blocks].filter(([, block]) => chatKeys.has(block.chatKey));
+  }
+
+  /** Takes over blocks exported elsewhere. */
+  importBlocks(blocks: readonly [string, CachedBlock][]): void {
+    for (const [key, block] of blocks) {
+      if (!this.#blocks.has(key)) {
+        this.#blocks.set(key, block);
+        this.#usedTokens += block.tokens;
+      }
+    }
+    this.#shrink(this.#capacityTokens);
+  }
+
+  #shrink(limit: number): void {
+    for (const [key, block] of this.#blocks) {
+      if (this.#usedTokens <= limit) {
+        return;
+      }
+      this.#blocks.delete(key);
+      this.#usedTokens -= block.tokens;
+      this.onEvict(block.chatKey);
+    }
+  }
+}
+
+function blockKeys(
+  messages: readonly ChatMessage[],
+): { key: string; tokens: number }[] {
+  let chain = "";
+  return messages.map(({ role, content }) => {
+    chain = hash64(`${chain}|${role}|${content}`).toString(16);
+    return { key: chain, tokens: countTokens(content) };
+  });
+}
--- /dev/null
+++ b/packages/stand_ins/src/vm_list_stand_in.ts
@@ -0,0 +1,15 @@
+import { sendJson, StandInServer } from "./http_server.ts";
+import type { FakeVmList } from "./vm_list_engine.ts";
+
+/** Serves a {@linkcode FakeVmList} as `GET /v1/vms?since=N`. */
+export function vmListServer(list: FakeVmList): StandInServer {
+  return new StandInServer(async (req, res) => {
+    const url = new URL(req.url ?? "/", "http://localhost");
+    if (url.pathname !== "/v1/vms") {
+      sendJson(res, 404, { error: "no such path" });
+      return;
+    }
+    const since = Number(url.searchParams.get("since") ?? "0");
+    sendJson(res, 200, await list.changes(since));
+  });
+}
--- /dev/null
+++ b/packages/stand_ins/src/whole_body.ts
@@ -0,0 +1,20 @@
+import { usageFields } from "./model_engine.ts";
+import type { ModelRun } from "./model_run.ts";
+
+/** Body of a whole answer, made from a finished run. */
+export function wholeBody(run: ModelRun): string {
+  const content = Array.from(
+    { length: run.usage.completionTokens },
+    (_, at) => `w${at} `,
+  ).join("");
+  return JSON.stringify({
+    id: run.requestId,
+    object: "chat.completion",
+    choices: [{
+      index: 0,
+      message: { role: "assistant", content },
+      finish_reason: "stop",
+    }],
+    usage: usageFields(run),
+  });
+}
