--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -72,7 +72,7 @@
         writeFileSync(html, htmlReport(summary));
       }
       const { perSecond: _, ...short } = summary;
-      printJson(short);
+      printJson({ ...short, counters: sumCounters(running) });
     } finally {
       await Promise.all(running.map((node) => node.stop()));
       await deployment.close();
@@ -81,6 +81,19 @@
   },
 };
 
+/** Refusals, retries and admissions over all nodes. */
+function sumCounters(running: readonly RunningNode[]): Record<string, number> {
+  const sums: Record<string, number> = {};
+  for (const { metrics } of running) {
+    for (const [name, value] of Object.entries(metrics.snapshot())) {
+      if (/^(refusal|retry|admission|share|invariant)\./.test(name)) {
+        sums[name] = (sums[name] ?? 0) + value;
+      }
+    }
+  }
+  return sums;
+}
+
 async function submitFirstConfig(
   running: RunningNode,
   patch: object,
