feat(admission): exchange load sums between the nodes of a small fleet

Cause: owners took the mean from sums up to 3 s old and admitted a second request where the bound was 1. Change: each node asks the peer whose sums are oldest, at most 5 times a second and only among up to 8 peers; histories check every start of work against the mean of the last second.

--- a/packages/admission/src/endpoint_owner.ts
+++ b/packages/admission/src/endpoint_owner.ts
@@ -51,6 +51,15 @@
 const FENCE_MS = 2_500;
 const EXPIRE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_000;
+const EXCHANGE_INTERVAL_MS = 200;
+const EXCHANGE_TIMEOUT_MS = 400;
+/** Sums younger than this need no exchange. */
+const SUMS_FRESH_MS = 400;
+/**
+ * Peers up to which sums are exchanged beside the heartbeats. In a larger
+ * fleet one node's sum changes the mean little, and heartbeats are enough.
+ */
+const EXCHANGE_MAX_PEERS = 8;
 const MAX_WAITERS_PER_ENDPOINT = 64;
 
 /** Admits work to the endpoints that this node owns. */
@@ -61,6 +70,7 @@
   /** Endpoints handed over before this node took them. */
   readonly #handedOver = new Map<string, peerpb.HandoverRequest>();
   #expiring: Repeating | undefined;
+  #exchanging: Repeating | undefined;
   #declaredDead = 0;
   #previousEligible: readonly string[] = [];
   #closed = false;
@@ -68,13 +78,18 @@
   constructor(options: EndpointOwnerOptions) {
     this.#options = options;
     const { membership, directory, handlers } = options;
-    this.sums = new LoadSums({ membership, own: () => this.#ownLoad() });
+    this.sums = new LoadSums({
+      clock: options.clock,
+      membership,
+      own: () => this.#ownLoad(),
+    });
     membership.onChange(() => this.#reassign());
     directory.onChange(() => this.#reassign());
     handlers.on("admitRequest", (req) => this.admit(req));
     handlers.on("renewRequest", (req) => this.renew(req));
     handlers.on("releaseRequest", (req) => this.release(req));
     handlers.on("handoverRequest", (req) => this.#onHandover(req));
+    handlers.on("loadSumsRequest", (req) => this.#onLoadSums(req));
   }
 
   /** Starts taking endpoints and dropping lapsed admissions. */
@@ -85,6 +100,10 @@
       everyMs: EXPIRE_INTERVAL_MS,
       onError: (err) => logger.error({ err }, "expiry failed"),
     });
+    this.#exchanging = repeat(clock, () => this.#exchangeSums(), {
+      everyMs: EXCHANGE_INTERVAL_MS,
+      onError: (err) => logger.debug({ err }, "load sums not exchanged"),
+    });
   }
 
   /** Stops probing and admitting. */
@@ -94,6 +113,7 @@
     this.#owned.clear();
     await Promise.all(owned.map(({ monitor }) => monitor.close()));
     await this.#expiring?.close();
+    await this.#exchanging?.close();
   }
 
   /** The endpoints that this node owns now. */
@@ -298,6 +318,34 @@
     return loads;
   }
 
+  /** In a small fleet, keeps every peer's sums young while there is work. */
+  async #exchangeSums(): Promise<void> {
+    const { membership, owners, transport } = this.#options;
+    const { id, region } = membership.self;
+    const peers = owners.eligible(region).filter((other) => other !== id);
+    const oldest = this.sums.oldest(peers);
+    const idle = oldest === undefined || oldest.ageMs < SUMS_FRESH_MS ||
+      peers.length > EXCHANGE_MAX_PEERS;
+    if (idle) {
+      return;
+    }
+    const address = membership.node(oldest.nodeId)?.address ?? "";
+    const res = await transport.call(address, "loadSumsRequest", {
+      message: create(peerpb.LoadSumsRequestSchema, {
+        loadSums: this.sums.forMessage(0),
+      }),
+      timeoutMs: EXCHANGE_TIMEOUT_MS,
+    });
+    this.sums.absorbSums(res.loadSums);
+  }
+
+  #onLoadSums(req: peerpb.LoadSumsRequest): peerpb.LoadSumsResponse {
+    this.sums.absorbSums(req.loadSums);
+    return create(peerpb.LoadSumsResponseSchema, {
+      loadSums: this.sums.forMessage(0),
+    });
+  }
+
   #expire(): void {
     const { clock, metrics } = this.#options;
     const nowMs = clock.monotonicMs();
--- a/packages/admission/src/load_sums.ts
+++ b/packages/admission/src/load_sums.ts
@@ -1,4 +1,5 @@
 import { create } from "@bufbuild/protobuf";
+import type { Clock } from "@limpetshed/base";
 import type { HeartbeatContributor, Membership } from "@limpetshed/membership";
 import { peerpb } from "@limpetshed/peer";
 
@@ -10,7 +11,7 @@
 
 interface KnownSum extends ServiceLoad {
   sequence: bigint;
-  heardAt: number;
+  heardAtMs: number;
 }
 
 const MAX_SUMS_SENT = 16;
@@ -20,17 +21,20 @@
  * Own sums are exact; those of others are as old as the last message.
  */
 export class LoadSums implements HeartbeatContributor {
+  readonly #clock: Clock;
   readonly #membership: Membership;
   readonly #own: () => ReadonlyMap<string, ServiceLoad>;
   readonly #known = new Map<string, Map<string, KnownSum>>();
   #sequence = 1n;
-  #heard = 0;
+  readonly #heardFromMs = new Map<string, number>();
 
   /** `own` computes the load on the endpoints that this node owns. */
-  constructor({ membership, own }: {
+  constructor({ clock, membership, own }: {
+    clock: Clock;
     membership: Membership;
     own: () => ReadonlyMap<string, ServiceLoad>;
   }) {
+    this.#clock = clock;
     this.#membership = membership;
     this.#own = own;
     membership.addContributor(this);
@@ -73,6 +77,20 @@
     }
   }
 
+  /** Of some nodes, the one whose sums are oldest, and their age. */
+  oldest(nodeIds: readonly string[]): { nodeId: string; ageMs: number } | undefined {
+    const nowMs = this.#clock.monotonicMs();
+    let found: { nodeId: string; ageMs: number } | undefined;
+    for (const nodeId of nodeIds) {
+      const heardAtMs = this.#heardFromMs.get(nodeId);
+      const ageMs = nowMs - (heardAtMs ?? Number.NEGATIVE_INFINITY);
+      if (found === undefined || ageMs > found.ageMs) {
+        found = { nodeId, ageMs };
+      }
+    }
+    return found;
+  }
+
   /** Load of a service over all nodes that are believed live. */
   total(service: string): ServiceLoad {
     const own = this.#own().get(service);
@@ -94,12 +112,13 @@
     const sums = this.#known.get(sum.nodeId) ?? new Map<string, KnownSum>();
     const known = sums.get(sum.service);
     if (known === undefined || sum.sequence > known.sequence) {
-      this.#heard += 1;
+      const heardAtMs = this.#clock.monotonicMs();
+      this.#heardFromMs.set(sum.nodeId, heardAtMs);
       sums.set(sum.service, {
         inFlight: sum.inFlight,
         endpoints: sum.endpoints,
         sequence: sum.sequence,
-        heardAt: this.#heard,
+        heardAtMs,
       });
     }
     this.#known.set(sum.nodeId, sums);
@@ -112,7 +131,7 @@
     const all = [...this.#known].flatMap(([nodeId, sums]) =>
       [...sums].map(([service, sum]) => ({ nodeId, service, sum }))
     );
-    all.sort((a, b) => b.sum.heardAt - a.sum.heardAt);
+    all.sort((a, b) => b.sum.heardAtMs - a.sum.heardAtMs);
     return all.slice(0, limit).map(({ nodeId, service, sum }) =>
       create(peerpb.LoadSumSchema, {
         nodeId,
--- /dev/null
+++ b/packages/node/tests/support/faults.ts
@@ -0,0 +1,235 @@
+import type { ModelEngine } from "@limpetshed/stand_ins";
+import type { History } from "./history.ts";
+import { waitFor } from "./history.ts";
+
+/** One way in which things go wrong; resolves when it is over. */
+export type Fault = (history: History) => Promise<void>;
+
+/** Names of the faults. */
+export type FaultName = keyof typeof FAULTS;
+
+const FAULT_MS = 5_000;
+
+/** The faults that histories bring about. */
+export const FAULTS = {
+  endpoint_crash: async (history: History) => {
+    for (let times = 0; times < 2; times += 1) {
+      anyModel(history).crash();
+      await waitFor(history, FAULT_MS / 2);
+    }
+  },
+  endpoint_leave: async (history: History) => {
+    const engine = anyModel(history);
+    const zone = zoneOf(history, engine.id);
+    history.checks.out(engine.id);
+    engine.drain();
+    history.fleet.listEndpoint(engine.id, zone, "chat", "leaving");
+    await waitFor(history, 2 * FAULT_MS);
+    history.fleet.listEndpoint(engine.id, zone, "chat", "gone");
+    engine.stop();
+  },
+  endpoint_flap: async (history: History) => {
+    const engine = anyModel(history);
+    const zone = zoneOf(history, engine.id);
+    for (let times = 0; times < 4; times += 1) {
+      history.fleet.listEndpoint(engine.id, zone, "chat", "gone");
+      await waitFor(history, 700);
+      history.fleet.listEndpoint(engine.id, zone, "chat", "live");
+      await waitFor(history, 700);
+    }
+  },
+  endpoint_join: async (history: History) => {
+    const id = `new${history.rng.int(1_000)}`;
+    const zone = `z${1 + history.rng.int(3)}`;
+    const engine = history.fleet.addModel(id, zone, { completedAtStart: 0 });
+    history.checks.hook(engine, zone);
+    await waitFor(history, FAULT_MS);
+  },
+  eviction: async (history: History) => {
+    history.fleet.models().forEach((engine) => engine.evictTo(0.001));
+    await waitFor(history, 100);
+  },
+  node_kill: async (history: History) => {
+    const id = anyNode(history);
+    history.fleet.kill(id);
+    await waitFor(history, FAULT_MS);
+    history.fleet.list(id, "z1", "gone");
+    const fresh = `${id}x`;
+    history.fleet.list(fresh, "z1");
+    await history.fleet.addNode(fresh, "z1");
+  },
+  node_stop: async (history: History) => {
+    const id = anyNode(history);
+    const { node } = history.fleet.node(id);
+    await node.beginStop();
+    await waitFor(history, FAULT_MS);
+    history.fleet.list(id, "z1", "gone");
+    history.fleet.nodes.delete(id);
+    await node.close();
+  },
+  all_nodes_restart: async (history: History) => {
+    const ids = [...history.fleet.nodes.keys()];
+    ids.forEach((id) => history.fleet.kill(id));
+    await waitFor(history, 1_000);
+    for (const id of ids) {
+      history.fleet.list(id, "z1", "gone");
+      history.fleet.list(`${id}y`, "z1");
+    }
+    await Promise.all(ids.map((id) => history.fleet.addNode(`${id}y`, "z1")));
+    await waitFor(history, FAULT_MS);
+  },
+  node_pause: async (history: History) => {
+    const { clock } = history.fleet.node(anyNode(history));
+    clock.pause();
+    await waitFor(history, 1_000 + history.rng.int(2 * FAULT_MS));
+    clock.resume();
+  },
+  peer_cut: async (history: History) => {
+    const { network, nodes } = history.fleet;
+    const [from, to] = history.rng.shuffle([...nodes.values()]);
+    if (from !== undefined && to !== undefined) {
+      const pair = `${from.address}|${to.address}`;
+      network.cut.add(pair);
+      await waitFor(history, FAULT_MS);
+      network.cut.delete(pair);
+    }
+  },
+  peer_slow: async (history: History) => {
+    const { network } = history.fleet;
+    const before = network.delayMs;
+    network.delayMs = () => history.rng.int(200);
+    await waitFor(history, FAULT_MS);
+    network.delayMs = before;
+  },
+  store_down: async (history: History) => {
+    setStore(history, (store) => {
+      store.faults.down = true;
+      store.breakWatches();
+    });
+    await waitFor(history, FAULT_MS);
+    setStore(history, (store) => {
+      store.faults.down = false;
+    });
+  },
+  store_slow: async (history: History) => {
+    setStore(history, (store) => {
+      store.faults.delayMs = 800;
+    });
+    await waitFor(history, FAULT_MS);
+    setStore(history, (store) => {
+      store.faults.delayMs = 0;
+    });
+  },
+  store_answers_lost: async (history: History) => {
+    setStore(history, (store) => {
+      store.faults.choose = (call) => {
+        if (call === "read") {
+          return history.rng.fraction() < 0.2 ? "down" : "none";
+        }
+        return history.rng.pick(["none", "answer_lost", "late_effect"]) ??
+          "none";
+      };
+    });
+    await waitFor(history, FAULT_MS);
+    setStore(history, (store) => {
+      store.faults.choose = () => "none";
+    });
+  },
+  vm_list_down: async (history: History) => {
+    history.fleet.vmList.down = true;
+    await waitFor(history, FAULT_MS);
+    history.fleet.vmList.down = false;
+  },
+  zone_out_in: async (history: History) => {
+    const zone = `z${1 + history.rng.int(3)}`;
+    const zones = (state: "in" | "out") => ({
+      availability_zones: { [zone]: { state } },
+    });
+    if (await patchUntilAccepted(history, zones("out"))) {
+      history.checks.out(zone);
+      await waitFor(history, FAULT_MS + 1_000);
+    }
+    // The check ends first: from here on the zone may be in force as in.
+    history.checks.in(zone);
+    await patchUntilAccepted(history, zones("in"));
+  },
+  patch_race: async (history: History) => {
+    const race = Array.from({ length: 6 }, (_, index) =>
+      history.patch({ members: { [`m${index}`]: newMember() } }));
+    await Promise.all(race);
+    await waitFor(history, 500);
+  },
+  poison: async (history: History) => {
+    const before = crashes(history);
+    await history.sendPoison(6);
+    history.poisonCrashes = crashes(history) - before;
+  },
+  plain_faults: async (history: History) => {
+    const { plains } = history.fleet.endpoints;
+    for (const engine of plains.values()) {
+      engine.choose = () =>
+        history.rng.pick(["none", "die_before", "die_after", "refuse"]) ??
+          "none";
+    }
+    await waitFor(history, FAULT_MS);
+    plains.forEach((engine) => {
+      engine.choose = () => "none";
+    });
+  },
+} satisfies Record<string, Fault>;
+
+/** All fault names. */
+export const FAULT_NAMES = Object.keys(FAULTS) as FaultName[];
+
+function anyModel(history: History): ModelEngine {
+  const up = history.fleet.models().filter(({ down }) => !down);
+  return history.rng.pick(up)!;
+}
+
+function anyNode(history: History): string {
+  return history.rng.pick([...history.fleet.nodes.keys()])!;
+}
+
+function crashes(history: History): number {
+  return history.fleet.models().reduce((sum, m) => sum + m.crashes, 0);
+}
+
+function zoneOf(history: History, id: string): string {
+  const [first] = [...history.fleet.nodes.values()];
+  return first?.node.directory.get(id)?.availabilityZone ?? "z1";
+}
+
+function setStore(
+  history: History,
+  set: (store: {
+    faults: {
+      down: boolean;
+      delayMs: number;
+      choose: (
+        call: "read" | "write",
+      ) => "none" | "down" | "answer_lost" | "late_effect" | "rate_limited";
+    };
+    breakWatches(): void;
+  }) => void,
+): void {
+  for (const { store } of history.fleet.nodes.values()) {
+    set(store);
+  }
+}
+
+async function patchUntilAccepted(
+  history: History,
+  patch: object,
+): Promise<boolean> {
+  for (let tries = 0; tries < 10; tries += 1) {
+    if (await history.patch(patch)) {
+      return true;
+    }
+    await waitFor(history, 500);
+  }
+  return false;
+}
+
+function newMember() {
+  return { keys: [], services: ["chat"], share: 1 };
+}
--- /dev/null
+++ b/packages/node/tests/support/work_checks.ts
@@ -0,0 +1,135 @@
+import type { ModelEngine } from "@limpetshed/stand_ins";
+import type { TestFleet } from "./test_fleet.ts";
+
+/** One rule that a run broke. */
+export interface Violation {
+  rule: string;
+  atMs: number;
+  detail: string;
+}
+
+/** Time after which a zone or endpoint taken out receives nothing new. */
+const OUT_AFTER_MS = 3_000;
+/**
+ * Owners hear of each other's load within this time, one heartbeat: the mean
+ * is that of the highest loads that each endpoint had within it.
+ */
+const MEAN_WINDOW_MS = 1_000;
+const SAMPLE_MS = 20;
+
+interface Sample {
+  atMs: number;
+  inFlight: number;
+}
+
+/** Watches every start of work at the model endpoints. */
+export class WorkChecks {
+  readonly violations: Violation[] = [];
+  /** Most load on one endpoint over the mean, at the start of work. */
+  worstMultiple = 0;
+  starts = 0;
+  readonly #fleet: TestFleet;
+  readonly #loadMultiple: number;
+  readonly #outSince = new Map<string, number>();
+  readonly #zones = new Map<string, string>();
+  readonly #hooked = new Set<ModelEngine>();
+  readonly #samples = new Map<string, Sample[]>();
+
+  constructor(
+    { fleet, loadMultiple = 2 }: { fleet: TestFleet; loadMultiple?: number },
+  ) {
+    this.#fleet = fleet;
+    this.#loadMultiple = loadMultiple;
+    this.#sampleAll();
+  }
+
+  /** Watches an endpoint. */
+  hook(engine: ModelEngine, zone: string): void {
+    this.#zones.set(engine.id, zone);
+    if (this.#hooked.has(engine)) {
+      return;
+    }
+    this.#hooked.add(engine);
+    const start = engine.start.bind(engine);
+    engine.start = (req) => {
+      const run = start(req);
+      this.#check(engine);
+      return run;
+    };
+  }
+
+  /** A zone or an endpoint receives nothing new from now on. */
+  out(name: string): void {
+    this.#outSince.set(name, this.#now());
+  }
+
+  /** A zone or an endpoint may receive work again. */
+  in(name: string): void {
+    this.#outSince.delete(name);
+  }
+
+  /** Adds a violation. */
+  add(rule: string, detail: string): void {
+    this.violations.push({ rule, atMs: this.#now(), detail });
+  }
+
+  #check(engine: ModelEngine): void {
+    this.starts += 1;
+    this.#checkOut(engine, engine.id);
+    this.#checkOut(engine, this.#zones.get(engine.id) ?? "");
+    this.#checkLoad(engine);
+  }
+
+  #checkOut(engine: ModelEngine, name: string): void {
+    const sinceMs = this.#outSince.get(name);
+    if (sinceMs !== undefined && this.#now() - sinceMs > OUT_AFTER_MS) {
+      this.add("no work where out", `${engine.id}: ${name} out`);
+    }
+  }
+
+  #sampleAll(): void {
+    this.#fleet.models().forEach((engine) => this.#sample(engine));
+    this.#fleet.clock.setTimer(SAMPLE_MS, () => this.#sampleAll());
+  }
+
+  #sample({ id, inFlight }: ModelEngine): void {
+    const atMs = this.#now();
+    const samples = this.#samples.get(id) ?? [];
+    samples.push({ atMs, inFlight });
+    while (atMs - samples[0]!.atMs > MEAN_WINDOW_MS) {
+      samples.shift();
+    }
+    this.#samples.set(id, samples);
+  }
+
+  #recentLoad({ id }: ModelEngine): number {
+    const samples = this.#samples.get(id) ?? [];
+    return Math.max(0, ...samples.map(({ inFlight }) => inFlight));
+  }
+
+  #checkLoad(engine: ModelEngine): void {
+    this.#sample(engine);
+    const engines = this.#fleet.models().filter((other) => !other.down);
+    const recent = engines.reduce(
+      (sum, other) => sum + this.#recentLoad(other),
+      0,
+    );
+    const inService = engines.filter((other) =>
+      !this.#outSince.has(other.id) &&
+      !this.#outSince.has(this.#zones.get(other.id) ?? "")
+    );
+    const mean = recent / Math.max(1, inService.length);
+    const bound = Math.max(1, Math.floor(this.#loadMultiple * mean));
+    this.worstMultiple = Math.max(this.worstMultiple, engine.inFlight / mean);
+    if (engine.inFlight > bound) {
+      this.add(
+        "load within the multiple of the mean",
+        `${engine.id}: ${engine.inFlight} open, bound ${bound}, total ${recent}`,
+      );
+    }
+  }
+
+  #now(): number {
+    return this.#fleet.clock.monotonicMs();
+  }
+}
--- a/packages/peer/src/messages.ts
+++ b/packages/peer/src/messages.ts
@@ -20,6 +20,7 @@
   lookupRequest: "lookupResponse",
   locationsRequest: "locationsResponse",
   lossReport: "lossReportResponse",
+  loadSumsRequest: "loadSumsResponse",
 } as const satisfies Partial<Record<FrameBody["case"], FrameBody["case"]>>;
 
 /** Message of one name. */
