fix(config): encode heads alike however they were made

Change: the encoder writes every field in one order; a node whose records do not fit fetches the whole head; histories no longer hang when a waiter's list is full; a grant that comes late is not used. Conclusion: test added in config; the cause was the encoding, not the spread.

--- a/packages/admission/src/admission_client.ts
+++ b/packages/admission/src/admission_client.ts
@@ -97,7 +97,7 @@
 
   /** Asks for admission to one endpoint. */
   async ask(query: AdmissionQuery): Promise<AdmissionAnswer> {
-    const { owners, membership, config, rng } = this.#options;
+    const { owners, membership, config, rng, clock, timeoutMs } = this.#options;
     const { endpoint, priority, fingerprint, suspect, waitMs } = query;
     const { owner } = owners.owners(endpoint.region, endpoint.id);
     const admissionId = (BigInt(rng.int(HALF_ID_RANGE)) << 32n) |
@@ -114,10 +114,13 @@
     if (owner === undefined) {
       return unanswered(admissionId);
     }
+    const askedAtMs = clock.monotonicMs();
     const res = owner === membership.self.id
       ? await this.#options.local.admit(message)
       : await this.#askPeer(owner, message);
-    if (res === undefined) {
+    const tookMs = clock.monotonicMs() - askedAtMs;
+    // A grant that comes late, as after a pause, may have lapsed already.
+    if (res === undefined || tookMs > waitMs + 2 * timeoutMs) {
       this.#release(endpoint, admissionId, WorkOutcome.CANCELLED);
       return unanswered(admissionId);
     }
--- a/packages/admission/src/endpoint_owner.ts
+++ b/packages/admission/src/endpoint_owner.ts
@@ -23,7 +23,7 @@
 import type { CrashTracker } from "./crash_tracker.ts";
 import { ADMISSION_TTL_MS } from "./endpoint_ledger.ts";
 import { EndpointMonitor } from "./endpoint_monitor.ts";
-import { LoadSums, type ServiceLoad } from "./load_sums.ts";
+import { LoadSums, type ServiceLoad, SMALL_FLEET_NODES } from "./load_sums.ts";
 import { OwnedEndpoint, SETTLE_MS } from "./owned_endpoint.ts";
 
 const { AdmitResult, Priority, WorkOutcome } = peerpb;
@@ -55,11 +55,6 @@
 const EXCHANGE_TIMEOUT_MS = 400;
 /** Sums younger than this need no exchange. */
 const SUMS_FRESH_MS = 400;
-/**
- * Peers up to which sums are exchanged beside the heartbeats. In a larger
- * fleet one node's sum changes the mean little, and heartbeats are enough.
- */
-const EXCHANGE_MAX_PEERS = 8;
 const MAX_WAITERS_PER_ENDPOINT = 64;
 
 /** Admits work to the endpoints that this node owns. */
@@ -318,14 +313,17 @@
     return loads;
   }
 
-  /** In a small fleet, keeps every peer's sums young while there is work. */
+  /**
+   * In a small fleet, keeps every peer's sums young. In a larger one a single
+   * node's sum changes the mean little, and heartbeats are enough.
+   */
   async #exchangeSums(): Promise<void> {
     const { membership, owners, transport } = this.#options;
     const { id, region } = membership.self;
     const peers = owners.eligible(region).filter((other) => other !== id);
     const oldest = this.sums.oldest(peers);
     const idle = oldest === undefined || oldest.ageMs < SUMS_FRESH_MS ||
-      peers.length > EXCHANGE_MAX_PEERS;
+      peers.length >= SMALL_FLEET_NODES;
     if (idle) {
       return;
     }
--- a/packages/admission/src/load_sums.ts
+++ b/packages/admission/src/load_sums.ts
@@ -15,6 +15,15 @@
 }
 
 const MAX_SUMS_SENT = 16;
+/**
+ * Age above which a node's load counts as 0, though its endpoints still
+ * count: too low a mean is safe, too high a one is not.
+ */
+const STALE_MS = 1_000;
+/** The same in a fleet whose sums travel on heartbeats alone. */
+const STALE_LARGE_FLEET_MS = 15_000;
+/** Nodes up to which sums are exchanged beside the heartbeats. */
+export const SMALL_FLEET_NODES = 9;
 
 /**
  * The load on each service, summed over the nodes that own its endpoints.
@@ -98,10 +107,15 @@
       inFlight: own?.inFlight ?? 0,
       endpoints: own?.endpoints ?? 0,
     };
+    const nowMs = this.#clock.monotonicMs();
+    const { region } = this.#membership.self;
+    const small = this.#membership.eligible(region).length <= SMALL_FLEET_NODES;
+    const staleMs = small ? STALE_MS : STALE_LARGE_FLEET_MS;
     for (const [nodeId, sums] of this.#known) {
       const sum = sums.get(service);
       if (sum !== undefined && this.#isLive(nodeId)) {
-        total.inFlight += sum.inFlight;
+        const fresh = nowMs - sum.heardAtMs <= staleMs;
+        total.inFlight += fresh ? sum.inFlight : 0;
         total.endpoints += sum.endpoints;
       }
     }
--- a/packages/config/src/head.ts
+++ b/packages/config/src/head.ts
@@ -50,10 +50,19 @@
   return digest.slice(0, DIGEST_HEX_LENGTH);
 }
 
-/** Writes a head; equal heads give equal texts. */
+/** Writes a head; equal heads give equal texts, however they were made. */
 export function encodeHead(head: ConfigHead): string {
-  const { version, base, buckets, patches, retired } = head;
-  return JSON.stringify({ version, base, buckets, patches, retired });
+  return JSON.stringify({
+    version: head.version,
+    base: head.base,
+    buckets: head.buckets,
+    patches: head.patches.map(({ id, version, fingerprint }) => ({
+      id,
+      version,
+      fingerprint,
+    })),
+    retired: head.retired.map(({ digest, version }) => ({ digest, version })),
+  });
 }
 
 /** Reads a head; throws when it is not one. */
--- /dev/null
+++ b/packages/config/tests/head_test.ts
@@ -0,0 +1,43 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { applyPatch, applyRecord } from "../src/apply_patch.ts";
+import { assemble } from "../src/assemble.ts";
+import { contentDigest, decodeHead, encodeHead, headDigest } from "../src/head.ts";
+import { emptySnapshot } from "../src/snapshot.ts";
+
+const ZONES = {
+  availability_zones: { north: { state: "in" }, south: { state: "in" } },
+};
+const OUT = { availability_zones: { north: { state: "out" } } };
+
+describe("config head", () => {
+  const identity = (id: string) => ({ identity: { id, fingerprint: id } });
+
+  it("encodes the same after it was read back", () => {
+    const { snapshot } = applyPatch(emptySnapshot(), ZONES, identity("one"));
+    const text = encodeHead(snapshot.head);
+    expect(encodeHead(decodeHead(text))).to.equal(text);
+  });
+
+  it("lets a node that read the head apply the next record", async () => {
+    const first = applyPatch(emptySnapshot(), ZONES, identity("one"));
+    const readBack = await assemble(
+      decodeHead(encodeHead(first.snapshot.head)),
+      { readChunks: () => Promise.resolve(first.added) },
+    );
+    const patch = JSON.stringify(OUT);
+    const second = applyPatch(first.snapshot, OUT, {
+      identity: { id: "two", fingerprint: contentDigest(patch) },
+    });
+    const applied = applyRecord(readBack, {
+      version: 2,
+      id: "two",
+      author: "test",
+      at: "2026-01-01T00:00:00Z",
+      patch,
+      headDigest: headDigest(second.snapshot.head),
+    });
+    expect(applied.zoneIn("north")).to.equal(false);
+    expect(applied.zoneIn("south")).to.equal(true);
+  });
+});
--- a/packages/config_spread/src/config_spread.ts
+++ b/packages/config_spread/src/config_spread.ts
@@ -211,25 +211,42 @@
   }
 
   async #fetch(address: string): Promise<void> {
-    const { keeper, logger } = this.#options;
+    const { logger } = this.#options;
     try {
-      const haveVersion = BigInt(keeper.snapshot.version);
-      const res = await this.#call(address, { haveVersion });
-      if (res.records.length > 0) {
-        keeper.adoptRecords(
-          res.records.map((text) => JSON.parse(text) as PatchRecord),
-        );
-      } else if (res.head !== "") {
-        const readChunks: ChunkReader = (digests) =>
-          this.#fetchChunks(address, digests);
-        await keeper.adoptHead(decodeHead(res.head), readChunks);
-      }
+      await this.#fetchRecords(address);
       this.#synced = true;
     } catch (err) {
       logger.warn({ err, peer: address }, "configuration not fetched");
     }
   }
 
+  async #fetchRecords(address: string): Promise<void> {
+    const { keeper, logger } = this.#options;
+    const haveVersion = BigInt(keeper.snapshot.version);
+    const res = await this.#call(address, { haveVersion });
+    if (res.records.length === 0) {
+      await this.#adoptHead(address, res.head);
+      return;
+    }
+    try {
+      keeper.adoptRecords(
+        res.records.map((text) => JSON.parse(text) as PatchRecord),
+      );
+    } catch (err) {
+      logger.error({ err, peer: address }, "patch records do not fit");
+      const whole = await this.#call(address, { haveVersion, whole: true });
+      await this.#adoptHead(address, whole.head);
+    }
+  }
+
+  async #adoptHead(address: string, head: string): Promise<void> {
+    if (head !== "") {
+      const readChunks: ChunkReader = (digests) =>
+        this.#fetchChunks(address, digests);
+      await this.#options.keeper.adoptHead(decodeHead(head), readChunks);
+    }
+  }
+
   async #fetchChunks(
     address: string,
     digests: readonly string[],
@@ -247,7 +264,7 @@
 
   async #call(
     address: string,
-    req: { haveVersion?: bigint; wantDigests?: string[] },
+    req: { haveVersion?: bigint; wantDigests?: string[]; whole?: boolean },
   ): Promise<peerpb.ConfigFetchResponse> {
     const message = create(peerpb.ConfigFetchRequestSchema, req);
     return await this.#options.transport.call(address, "configFetchRequest", {
@@ -269,7 +286,9 @@
     if (req.haveVersion >= version) {
       return create(peerpb.ConfigFetchResponseSchema, { version });
     }
-    const records = keeper.recordsAfter(Number(req.haveVersion));
+    const records = req.whole
+      ? undefined
+      : keeper.recordsAfter(Number(req.haveVersion));
     return create(
       peerpb.ConfigFetchResponseSchema,
       records === undefined
--- a/packages/placement/src/owner_placement.ts
+++ b/packages/placement/src/owner_placement.ts
@@ -39,8 +39,8 @@
 const DISAGREEMENT_PAUSE_MS = 60;
 const MAX_DISAGREEMENTS = 4;
 const RETRY_AFTER_MS = 1_000;
-/** Pause before asking again when no owner could be asked. */
-const UNREACHABLE_PAUSE_MS = 200;
+/** Pause before looking around again. */
+const NEXT_ROUND_PAUSE_MS = 200;
 const NOTHING_KNOWN: ChatKnowledge = {
   lastEndpointId: undefined,
   losses: 0,
@@ -240,11 +240,13 @@
     search.best = undefined;
     search.unanswered = false;
     search.disagreements = 0;
-    if (best === undefined) {
-      await sleep(clock, Math.min(remainingMs, UNREACHABLE_PAUSE_MS));
-      return undefined;
+    const place = best === undefined
+      ? undefined
+      : await this.#ask(search, { info: best.info, waitMs: remainingMs });
+    if (place === undefined) {
+      await sleep(clock, Math.min(remainingMs, NEXT_ROUND_PAUSE_MS));
     }
-    return await this.#ask(search, { info: best.info, waitMs: remainingMs });
+    return place;
   }
 
   #makePlace(
