fix(admission): count for the mean only load that endpoints bear out

Cause: a paused or lost entry node's admissions stay in the ledger for up to 6 s; they raised the mean and with it the bound. An answer to a heartbeat that came after a pause counted as fresh and let a paused owner admit. Change: the sum told to others is bounded by the endpoint's own report plus the admissions younger than its lag; the age of the last contact counts from the sending of a heartbeat.

--- a/packages/admission/src/endpoint_ledger.ts
+++ b/packages/admission/src/endpoint_ledger.ts
@@ -6,6 +6,8 @@
   fingerprint: bigint;
   /** An endpoint was lost while running this request before. */
   suspect: boolean;
+  /** When it was granted or first announced here, monotonic milliseconds. */
+  openedAtMs: number;
   /** Monotonic milliseconds at which it lapses unless renewed. */
   expiresAtMs: number;
 }
@@ -56,8 +58,8 @@
   /** Takes note of an admission granted elsewhere or before. */
   announce(admission: Admission): void {
     const known = this.#admissions.get(admission.id);
-    const suspect = known?.suspect ?? admission.suspect;
-    this.#admissions.set(admission.id, { ...admission, suspect });
+    const { suspect, openedAtMs } = known ?? admission;
+    this.#admissions.set(admission.id, { ...admission, suspect, openedAtMs });
   }
 
   /** Whether the admission is open. */
@@ -89,6 +91,11 @@
     return expired;
   }
 
+  /** Admissions opened after a time, monotonic milliseconds. */
+  openedAfter(timeMs: number): number {
+    return this.all().filter(({ openedAtMs }) => openedAtMs > timeMs).length;
+  }
+
   /** All open admissions. */
   all(): Admission[] {
     return [...this.#admissions.values()];
--- a/packages/admission/src/endpoint_owner.ts
+++ b/packages/admission/src/endpoint_owner.ts
@@ -130,13 +130,15 @@
 
   /** Keeps open admissions alive; takes note of those it did not know. */
   renew(req: peerpb.RenewRequest): peerpb.RenewResponse {
-    const expiresAtMs = this.#options.clock.monotonicMs() + ADMISSION_TTL_MS;
+    const openedAtMs = this.#options.clock.monotonicMs();
+    const expiresAtMs = openedAtMs + ADMISSION_TTL_MS;
     for (const open of req.open) {
       const { admissionId: id, fingerprint } = open;
       this.#owned.get(open.endpointId)?.ledger.announce({
         id,
         fingerprint,
         suspect: false,
+        openedAtMs,
         expiresAtMs,
       });
     }
@@ -238,6 +240,7 @@
       id: req.admissionId,
       fingerprint: req.fingerprint,
       suspect: req.suspect,
+      openedAtMs: nowMs,
       expiresAtMs: nowMs + ADMISSION_TTL_MS,
     }, { limit });
     this.#checkAdmission(owned);
@@ -305,7 +308,7 @@
       const { service, availabilityZone } = owned.info;
       const load = loads.get(service) ?? { inFlight: 0, endpoints: 0 };
       if (owned.inService && snapshot.zoneIn(availabilityZone)) {
-        load.inFlight += owned.ledger.inFlight;
+        load.inFlight += owned.loadForMean();
         load.endpoints += 1;
       }
       loads.set(service, load);
--- a/packages/admission/src/owned_endpoint.ts
+++ b/packages/admission/src/owned_endpoint.ts
@@ -18,6 +18,8 @@
 export const SETTLE_MS = 2_500;
 /** Part of the limit that a settling owner may use. */
 const SETTLING_PART = 0.25;
+/** Most by which an endpoint's load report lags. */
+const REPORT_LAG_MS = 1_000;
 /** Age of a report up to which an idle endpoint counts as not restarted. */
 const FRESH_REPORT_MS = 300;
 
@@ -69,6 +71,20 @@
     }
   }
 
+  /**
+   * The endpoint's load as it counts for the mean: admissions that the load
+   * report does not bear out, as those of a lost entry node, do not count.
+   */
+  loadForMean(): number {
+    const { report, probedAtMs } = this.monitor;
+    const { inFlight } = this.ledger;
+    if (report === undefined) {
+      return 0;
+    }
+    const recent = this.ledger.openedAfter(probedAtMs - REPORT_LAG_MS);
+    return Math.min(inFlight, report.inFlight + recent);
+  }
+
   /** Most requests that may be open once the next is admitted. */
   limit({ service, total, reachablePart, nowMs }: LimitContext): number {
     const bound = loadLimit({
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -104,7 +104,7 @@
     return this.#timesDeclaredDead;
   }
 
-  /** Milliseconds since a peer last answered a heartbeat of this node. */
+  /** Milliseconds since this node sent the last heartbeat that was answered. */
   get lastAckAgeMs(): number {
     return this.#options.clock.monotonicMs() - this.#lastAckMs;
   }
@@ -278,12 +278,13 @@
   async #ping(view: Readonly<NodeView>): Promise<boolean> {
     const { transport, heartbeatTimeoutMs } = this.#options;
     const message = this.#makeHeartbeat();
+    const sentAtMs = this.#options.clock.monotonicMs();
     try {
       const answer = await transport.call(view.address, "heartbeat", {
         message,
         timeoutMs: heartbeatTimeoutMs,
       });
-      this.#lastAckMs = this.#options.clock.monotonicMs();
+      this.#lastAckMs = Math.max(this.#lastAckMs, sentAtMs);
       this.#absorb(answer);
       return true;
     } catch {
--- a/packages/node/tests/support/test_fleet.ts
+++ b/packages/node/tests/support/test_fleet.ts
@@ -297,6 +297,7 @@
       retryAfterMs: undefined,
       endpoint: undefined,
     };
+    await test.clock.gate();
     const messages = chat.messages ??
       [{ role: "user", content: chat.text ?? "hello" }];
     const signals = [test.killed.signal];
@@ -352,6 +353,7 @@
       retryAfterMs: undefined,
       endpoint: undefined,
     };
+    await test.clock.gate();
     try {
       const reply = await test.node.plainService.call({
         requestId: `r${this.#requests}`,
--- a/packages/peer/src/fake_peer_network.ts
+++ b/packages/peer/src/fake_peer_network.ts
@@ -45,6 +45,7 @@
 
   /** Carries one frame and its answer. */
   async carry(from: string, to: string, body: FrameBody): Promise<FrameBody> {
+    await this.#gates.get(from)?.();
     const request = this.#encode(body);
     await sleep(this.#clock, this.delayMs());
     const handlers = this.#nodes.get(to);
