fix(admission): settle after any gap in contact, not only after a death notice

Change: an owner settles anew whenever two answered heartbeats lie further apart than the fence; a load report older than 2.5 s proves nothing; relayed sums carry their age.

--- a/packages/admission/src/endpoint_owner.ts
+++ b/packages/admission/src/endpoint_owner.ts
@@ -8,11 +8,12 @@
 import type { ConfigSnapshot, Service } from "@limpetshed/config";
 import type { EndpointClient, LoadReport } from "@limpetshed/endpoint";
 import type { Rng } from "@limpetshed/hashing";
-import type {
-  EndpointDirectory,
-  EndpointInfo,
-  Membership,
-  OwnerMap,
+import {
+  type EndpointDirectory,
+  type EndpointInfo,
+  type Membership,
+  OUT_OF_CONTACT_MS,
+  type OwnerMap,
 } from "@limpetshed/membership";
 import type { Logger, Metrics } from "@limpetshed/observe";
 import {
@@ -47,8 +48,6 @@
   onReport?: (info: EndpointInfo, report: LoadReport) => void;
 }
 
-/** An owner that no peer has answered for this long admits nothing. */
-const FENCE_MS = 2_500;
 const EXPIRE_INTERVAL_MS = 1_000;
 const HANDOVER_TIMEOUT_MS = 1_000;
 const EXCHANGE_INTERVAL_MS = 200;
@@ -66,7 +65,7 @@
   readonly #handedOver = new Map<string, peerpb.HandoverRequest>();
   #expiring: Repeating | undefined;
   #exchanging: Repeating | undefined;
-  #declaredDead = 0;
+  #contactGaps = 0;
   #previousEligible: readonly string[] = [];
   #closed = false;
 
@@ -203,9 +202,10 @@
     if (this.#options.crashes.isQuarantined(req.fingerprint)) {
       return refuse(AdmitResult.QUARANTINED);
     }
-    if (membership.hasPeers() && membership.lastAckAgeMs > FENCE_MS) {
+    if (membership.hasPeers() && this.#fenced()) {
       return refuse(AdmitResult.SETTLING);
     }
+    this.#settleAfterGap();
     const nowMs = clock.monotonicMs();
     return this.#admitWithin(req, owned, { service, nowMs });
   }
@@ -368,7 +368,7 @@
     if (this.#closed) {
       return;
     }
-    this.#settleAfterDeath();
+    this.#settleAfterGap();
     const { region } = membership.self;
     const local = directory.all().filter((info) => info.region === region);
     const present = new Set(local.map((info) => info.id));
@@ -390,11 +390,11 @@
     this.#previousEligible = membership.eligible(region);
   }
 
-  /** Peers held this node dead: others may have admitted in its place. */
-  #settleAfterDeath(): void {
+  /** Out of contact for a while: others may have admitted in its place. */
+  #settleAfterGap(): void {
     const { membership, clock } = this.#options;
-    if (membership.timesDeclaredDead !== this.#declaredDead) {
-      this.#declaredDead = membership.timesDeclaredDead;
+    if (membership.timesOutOfContact !== this.#contactGaps) {
+      this.#contactGaps = membership.timesOutOfContact;
       const nowMs = clock.monotonicMs();
       this.#owned.forEach((owned) => owned.unsettle(nowMs));
     }
@@ -508,7 +508,7 @@
   }
 
   #fenced(): boolean {
-    return this.#options.membership.lastAckAgeMs > FENCE_MS;
+    return this.#options.membership.lastAckAgeMs > OUT_OF_CONTACT_MS;
   }
 }
 
--- a/packages/admission/src/load_sums.ts
+++ b/packages/admission/src/load_sums.ts
@@ -126,7 +126,7 @@
     const sums = this.#known.get(sum.nodeId) ?? new Map<string, KnownSum>();
     const known = sums.get(sum.service);
     if (known === undefined || sum.sequence > known.sequence) {
-      const heardAtMs = this.#clock.monotonicMs();
+      const heardAtMs = this.#clock.monotonicMs() - sum.ageMs;
       this.#heardFromMs.set(sum.nodeId, heardAtMs);
       sums.set(sum.service, {
         inFlight: sum.inFlight,
@@ -145,6 +145,7 @@
     const all = [...this.#known].flatMap(([nodeId, sums]) =>
       [...sums].map(([service, sum]) => ({ nodeId, service, sum }))
     );
+    const nowMs = this.#clock.monotonicMs();
     all.sort((a, b) => b.sum.heardAtMs - a.sum.heardAtMs);
     return all.slice(0, limit).map(({ nodeId, service, sum }) =>
       create(peerpb.LoadSumSchema, {
@@ -153,6 +154,7 @@
         inFlight: sum.inFlight,
         endpoints: sum.endpoints,
         sequence: sum.sequence,
+        ageMs: Math.round(nowMs - sum.heardAtMs),
       })
     );
   }
--- a/packages/admission/src/owned_endpoint.ts
+++ b/packages/admission/src/owned_endpoint.ts
@@ -22,6 +22,8 @@
 const REPORT_LAG_MS = 1_000;
 /** Age of a report up to which an idle endpoint counts as not restarted. */
 const FRESH_REPORT_MS = 300;
+/** Age of a report above which it proves nothing, as after a pause. */
+const OLDEST_REPORT_MS = 2_500;
 
 /** One endpoint that this node owns: its monitor, ledger and limit. */
 export class OwnedEndpoint {
@@ -115,9 +117,11 @@
    */
   provenSameBoot(nowMs: number): boolean {
     const { probedAtMs } = this.monitor;
+    const ageMs = nowMs - probedAtMs;
     const busySinceProbe = this.ledger.inFlight > 0 &&
       probedAtMs >= this.#lastIdleMs;
-    return busySinceProbe || nowMs - probedAtMs <= FRESH_REPORT_MS;
+    return ageMs <= FRESH_REPORT_MS ||
+      (busySinceProbe && ageMs <= OLDEST_REPORT_MS);
   }
 
   /** Unknown admissions show in the report; keep well clear of the limit. */
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -39,6 +39,11 @@
   remoteEvery?: number;
 }
 
+/**
+ * Milliseconds without an answered heartbeat after which a node must not act
+ * as an owner; shorter than the time until peers hold it dead.
+ */
+export const OUT_OF_CONTACT_MS = 2_500;
 /** Peers asked to probe a node that did not answer. */
 const INDIRECT_PROBES = 2;
 /** Fleet size up to which the suspicion timeout is not stretched. */
@@ -60,7 +65,7 @@
   #round: string[] = [];
   #beats = 0;
   #viewNumber = 0;
-  #timesDeclaredDead = 0;
+  #timesOutOfContact = 0;
   #lastAckMs: number;
   #beating: Repeating | undefined;
 
@@ -83,7 +88,7 @@
     });
     this.#table.onChange = (view) => this.#changed(view);
     this.#table.onDeclaredDead = () => {
-      this.#timesDeclaredDead += 1;
+      this.#timesOutOfContact += 1;
     };
     options.handlers.on("heartbeat", (beat) => this.#onHeartbeat(beat));
     options.handlers.on("probeRequest", (req) => this.#onProbe(req));
@@ -99,9 +104,12 @@
     return this.#viewNumber;
   }
 
-  /** How often peers held this node dead while it was not. */
-  get timesDeclaredDead(): number {
-    return this.#timesDeclaredDead;
+  /**
+   * How often this node was out of contact long enough that others may have
+   * taken its place: no heartbeat answered, or held dead by a peer.
+   */
+  get timesOutOfContact(): number {
+    return this.#timesOutOfContact;
   }
 
   /** Milliseconds since this node sent the last heartbeat that was answered. */
@@ -284,7 +292,7 @@
         message,
         timeoutMs: heartbeatTimeoutMs,
       });
-      this.#lastAckMs = Math.max(this.#lastAckMs, sentAtMs);
+      this.#noteAnswered(sentAtMs);
       this.#absorb(answer);
       return true;
     } catch {
@@ -292,6 +300,13 @@
     }
   }
 
+  #noteAnswered(sentAtMs: number): void {
+    if (sentAtMs - this.#lastAckMs > OUT_OF_CONTACT_MS) {
+      this.#timesOutOfContact += 1;
+    }
+    this.#lastAckMs = Math.max(this.#lastAckMs, sentAtMs);
+  }
+
   async #probeThroughOthers(view: Readonly<NodeView>): Promise<boolean> {
     const { transport, heartbeatTimeoutMs, rng } = this.#options;
     const helpers = rng.shuffle(
