--- a/packages/cli/src/run_command.ts
+++ b/packages/cli/src/run_command.ts
@@ -14,6 +14,7 @@
 import { loadCommand } from "./load_command.ts";
 import { parseOptions } from "./options.ts";
 import { print } from "./output.ts";
+import { referenceCommand } from "./reference_command.ts";
 import { serveCommand } from "./serve_command.ts";
 import { standInCommand } from "./stand_in_command.ts";
 import { VERSION } from "./version.ts";
@@ -30,6 +31,7 @@
   standInCommand,
   loadCommand,
   demoCommand,
+  referenceCommand,
 ];
 
 /** Runs the command line; returns the exit code. */
--- a/packages/errors/src/index.ts
+++ b/packages/errors/src/index.ts
@@ -7,6 +7,7 @@
   type ErrorKind,
   type RunState,
 } from "./error_kinds.ts";
+export { errorsReference } from "./errors_reference.ts";
 export {
   isKind,
   RouterError,
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -15,4 +15,5 @@
   STORE_PURPOSES,
   type StorePurpose,
 } from "./metric_table.ts";
+export { metricsReference } from "./metrics_reference.ts";
 export { Metrics, type MetricsOptions } from "./metrics.ts";
--- a/packages/settings/src/settings_reference.ts
+++ b/packages/settings/src/settings_reference.ts
@@ -18,8 +18,8 @@
   const lines = [
     "# Settings",
     "",
-    "Made from the schema by `limpetshed check-settings --reference`; a test keeps it",
-    "current. Durations need a unit (`250ms`, `30s`), sizes too (`64KiB`).",
+    "Made from the schema by `limpetshed reference settings`; a test keeps it current.",
+    "Durations need a unit (`250ms`, `30s`), sizes too (`64KiB`).",
     "",
     "| key | kind | required | meaning |",
     "| --- | --- | --- | --- |",
