refactor: split membership, claims, the endpoint client and the config keeper

Cause: four files had grown to 390 to 530 lines with several jobs each; demo and stand-in read some options only after they had started. Conclusion: behaviour as it was.

--- a/packages/claims/src/claim_keeper.ts
+++ b/packages/claims/src/claim_keeper.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import { create } from "@bufbuild/protobuf";
 import { ulid } from "ulid";
-import { type Clock, invariant, sleep } from "@limpetshed/base";
+import { type Clock, invariant } from "@limpetshed/base";
 import { isKind, RouterError, toRouterError } from "@limpetshed/errors";
 import { type Rng, sha256Hex } from "@limpetshed/hashing";
 import type { Membership } from "@limpetshed/membership";
@@ -20,6 +20,7 @@
   encodeClaim,
   type RecordedAnswer,
 } from "./claim_record.ts";
+import { type HeldClaim, OutcomeRecorder } from "./outcome_recorder.ts";
 
 /** Options of {@linkcode ClaimKeeper}. */
 export interface ClaimKeeperOptions {
@@ -63,20 +64,10 @@
   replayed: boolean;
 }
 
-interface Held {
-  key: string;
-  record: ClaimRecord;
-  modRevision: bigint;
-  leaseId: bigint;
-}
-
 const CLAIM_PREFIX = "limpetshed/claim/";
 const DEFAULT_KEEP_MS = 24 * 3_600_000;
 const QUERY_TIMEOUT_MS = 1_000;
 const MAX_RECORDED_BYTES = 256 * 1_024;
-const RECORD_RETRY_FIRST_MS = 500;
-const RECORD_RETRY_MAX_MS = 60_000;
-const MAX_RECORDING = 1_000;
 const IN_PROGRESS_RETRY_MS = 1_000;
 
 /**
@@ -88,13 +79,13 @@
   readonly #options: ClaimKeeperOptions;
   readonly #book = new ClaimBook();
   readonly #leases: ClaimLeases;
-  readonly #stop = new AbortController();
-  readonly #recording = new Set<Promise<void>>();
+  readonly #outcomes: OutcomeRecorder;
 
   constructor(options: ClaimKeeperOptions) {
     this.#options = options;
     const { store, clock, keepMs = DEFAULT_KEEP_MS } = options;
     this.#leases = new ClaimLeases({ store, clock, keepMs });
+    this.#outcomes = new OutcomeRecorder(options);
     options.handlers.on("claimQueryRequest", (req) => this.#onQuery(req));
   }
 
@@ -116,16 +107,18 @@
 
   /** Waits until recorded answers are written or can no longer be. */
   async close(): Promise<void> {
-    this.#stop.abort();
-    await Promise.all(this.#recording);
+    await this.#outcomes.close();
   }
 
   /** Number of answers not recorded yet. */
   get recordingCount(): number {
-    return this.#recording.size;
+    return this.#outcomes.pending;
   }
 
-  async #claim(key: string, call: ClaimedCall): Promise<Held | ClaimedAnswer> {
+  async #claim(
+    key: string,
+    call: ClaimedCall,
+  ): Promise<HeldClaim | ClaimedAnswer> {
     const first = await this.#write(key, call, { kind: "absent", key });
     if (first.held !== undefined) {
       return first.held;
@@ -152,7 +145,7 @@
     key: string,
     call: ClaimedCall,
     { record, modRevision }: Found,
-  ): Promise<Held> {
+  ): Promise<HeldClaim> {
     const state = await this.#ask(record);
     if (state === peerpb.ClaimState.RUNNING) {
       throw new RouterError(
@@ -184,7 +177,9 @@
     key: string,
     call: ClaimedCall,
     condition: StoreCondition,
-  ): Promise<{ held: Held; found?: never } | { held?: never; found: Found }> {
+  ): Promise<
+    { held: HeldClaim; found?: never } | { held?: never; found: Found }
+  > {
     const { store, membership, rng, clock } = this.#options;
     const leaseId = await this.#leases.current().catch((err: unknown) => {
       throw notClaimed(err);
@@ -216,9 +211,11 @@
 
   /** The answer to a claim's write was lost: look whether it is there. */
   async #afterFailedWrite(
-    { key, record, leaseId }: Omit<Held, "modRevision">,
+    { key, record, leaseId }: Omit<HeldClaim, "modRevision">,
     err: unknown,
-  ): Promise<{ held: Held; found?: never } | { held?: never; found: Found }> {
+  ): Promise<
+    { held: HeldClaim; found?: never } | { held?: never; found: Found }
+  > {
     if (!isKind(err, "store_outcome_unknown")) {
       this.#abandon(record);
       throw notClaimed(err);
@@ -251,7 +248,7 @@
     return { record: decodeClaim(value), modRevision };
   }
 
-  async #send(held: Held, call: ClaimedCall): Promise<ClaimedAnswer> {
+  async #send(held: HeldClaim, call: ClaimedCall): Promise<ClaimedAnswer> {
     const { claimId } = held.record;
     this.#book.send(claimId);
     let result: PlainResult;
@@ -261,7 +258,7 @@
       throw this.#afterFailedSend(held, toRouterError(err));
     }
     this.#book.finish(claimId);
-    this.#record(held, {
+    this.#outcomes.record(held, {
       ...held.record,
       state: "ran",
       answer: toRecorded(result),
@@ -269,14 +266,14 @@
     return { ...result, replayed: false };
   }
 
-  #afterFailedSend(held: Held, err: RouterError): RouterError {
+  #afterFailedSend(held: HeldClaim, err: RouterError): RouterError {
     if (err.run === "not-run") {
       this.#abandon(held.record);
-      this.#remove(held);
+      this.#outcomes.remove(held);
       return err;
     }
     this.#book.finish(held.record.claimId);
-    this.#record(held, { ...held.record, state: "unknown" });
+    this.#outcomes.record(held, { ...held.record, state: "unknown" });
     return outcomeUnknown(err);
   }
 
@@ -285,58 +282,6 @@
     this.#options.metrics.count("claim.abandoned");
   }
 
-  /** Writes the outcome, again and again while the store is away. */
-  #record(held: Held, record: ClaimRecord): void {
-    this.#inBackground(async () => {
-      const { key, leaseId } = held;
-      await this.#options.store.transact("claim_outcome", {
-        conditions: [unchanged(held)],
-        writes: [{ kind: "put", key, value: encodeClaim(record), leaseId }],
-      });
-    });
-  }
-
-  /** Frees the key of a call that was not run, for the caller's next try. */
-  #remove(held: Held): void {
-    this.#inBackground(async () => {
-      await this.#options.store.transact("claim_outcome", {
-        conditions: [unchanged(held)],
-        writes: [{ kind: "delete", key: held.key }],
-      });
-    });
-  }
-
-  #inBackground(write: () => Promise<void>): void {
-    if (this.#recording.size >= MAX_RECORDING) {
-      this.#options.logger.error("too many outcomes wait for the store");
-      return;
-    }
-    const task = this.#writeUntilDone(write).finally(() => {
-      this.#recording.delete(task);
-    });
-    this.#recording.add(task);
-  }
-
-  /** The condition on the claim makes a repeated write harmless. */
-  async #writeUntilDone(write: () => Promise<void>): Promise<void> {
-    const { clock, rng, logger } = this.#options;
-    let pauseMs = RECORD_RETRY_FIRST_MS;
-    for (;;) {
-      try {
-        await write();
-        return;
-      } catch (err) {
-        logger.warn({ err }, "outcome not recorded yet");
-      }
-      if (this.#stop.signal.aborted) {
-        return;
-      }
-      const ms = pauseMs * rng.jitter();
-      await sleep(clock, ms, { signal: this.#stop.signal });
-      pauseMs = Math.min(RECORD_RETRY_MAX_MS, 2 * pauseMs);
-    }
-  }
-
   #replay(answer: RecordedAnswer | undefined): ClaimedAnswer {
     this.#options.metrics.count("claim.replayed");
     if (answer?.body === undefined) {
@@ -392,10 +337,6 @@
   modRevision: bigint;
 }
 
-function unchanged({ key, modRevision }: Held): StoreCondition {
-  return { kind: "unchanged", key, modRevision };
-}
-
 function toRecorded({ status, headers, body }: PlainResult): RecordedAnswer {
   const kept = body.length <= MAX_RECORDED_BYTES;
   return { status, headers, body: kept ? body.toString("base64") : undefined };
--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -33,12 +33,15 @@
     const layout = readLayout(text(parsed, "layout", "brodeline"));
     const seed = number(parsed, "seed", 1);
     const portBase = number(parsed, "port", 22_000);
+    const nodeCount = number(parsed, "nodes", 4);
+    const ratePerSecond = number(parsed, "rate", 20);
+    const loadMs = durationMs(parsed, "duration", "10s");
     const directory = mkdtempSync(join(tmpdir(), "limpetshed-demo-"));
     const deployment = new Deployment({ layout, seed });
     const running: RunningNode[] = [];
     try {
       await deployment.start();
-      const nodes = nodeAddresses(number(parsed, "nodes", 4), {
+      const nodes = nodeAddresses(nodeCount, {
         portBase,
         zones: deployment.layout.availabilityZones,
       });
@@ -63,8 +66,8 @@
       const summary = await runLoad({
         urls: nodes.map(({ callers }) => `http://${callers}`),
         keys: members.map(({ key }) => key),
-        ratePerSecond: number(parsed, "rate", 20),
-        durationMs: durationMs(parsed, "duration", "10s"),
+        ratePerSecond,
+        durationMs: loadMs,
         chats: { seed, models: [deployment.layout.modelService] },
       });
       const html = text(parsed, "html", "");
--- a/packages/cli/src/stand_in_command.ts
+++ b/packages/cli/src/stand_in_command.ts
@@ -36,18 +36,18 @@
     const layout = readLayout(text(parsed, "layout", "brodeline"));
     const seed = number(parsed, "seed", 1);
     const port = number(parsed, "port", 21_000);
+    const nodeCount = number(parsed, "nodes", 4);
+    const memberCount = number(parsed, "members", 10);
+    const budget = number(parsed, "budget", 1_000_000);
+    const { modelEndpoints: usual } = LAYOUTS[layout];
     const deployment = new Deployment({
       layout,
       seed,
       portBase: port,
-      modelEndpoints: number(
-        parsed,
-        "models",
-        LAYOUTS[layout].modelEndpoints,
-      ),
+      modelEndpoints: number(parsed, "models", usual),
     });
     await deployment.start();
-    const nodes = nodeAddresses(number(parsed, "nodes", 4), {
+    const nodes = nodeAddresses(nodeCount, {
       portBase: port + NODE_PORTS_FROM,
       zones: deployment.layout.availabilityZones,
     });
@@ -60,8 +60,7 @@
       peerKey: `peer-${seed}`,
       operatorKey: `operator-${seed}`,
     });
-    const members = memberKeys(number(parsed, "members", 10), seed);
-    const budget = number(parsed, "budget", 1_000_000);
+    const members = memberKeys(memberCount, seed);
     const config = join(directory, "first_config.json");
     writeFileSync(
       config,
--- a/packages/config/src/config_keeper.ts
+++ b/packages/config/src/config_keeper.ts
@@ -1,28 +1,22 @@
 import { Buffer } from "node:buffer";
 import { type Clock, invariant } from "@limpetshed/base";
-import { isKind, RouterError } from "@limpetshed/errors";
+import { RouterError } from "@limpetshed/errors";
 import type { Logger, Metrics } from "@limpetshed/observe";
-import type { StoreClient, StoreWrite } from "@limpetshed/store";
+import type { StoreClient } from "@limpetshed/store";
 import { applyPatch, applyRecord } from "./apply_patch.ts";
 import { assemble, type ChunkReader } from "./assemble.ts";
+import { ConfigStore, findPatch } from "./config_store.ts";
 import {
   type ConfigHead,
   contentDigest,
   decodeHead,
-  encodeHead,
   headDigest,
   type PatchRecord,
 } from "./head.ts";
 import type { Json } from "./merge_patch.ts";
 import { type ConfigSnapshot, emptySnapshot } from "./snapshot.ts";
 
-/** Key of the head in the store. */
-export const HEAD_KEY = "limpetshed/config/head";
-const CHUNK_PREFIX = "limpetshed/config/chunk/";
-const HISTORY_PREFIX = "limpetshed/config/history/";
-const HISTORY_KEPT = 1_000;
 const RECORDS_KEPT = 64;
-const VERSION_DIGITS = 12;
 
 /** A patch as an operator submits it. */
 export interface PatchRequest {
@@ -49,17 +43,13 @@
   logger: Logger;
 }
 
-interface StoredHead {
-  head: ConfigHead;
-  modRevision: bigint;
-}
-
 /**
  * The configuration in force on this node, and the way to change it. The
  * version in force never goes down.
  */
 export class ConfigKeeper {
   readonly #options: ConfigKeeperOptions;
+  readonly #stored: ConfigStore;
   readonly #listeners: ((snapshot: ConfigSnapshot) => void)[] = [];
   #snapshot = emptySnapshot();
   /** Records of the latest versions, oldest first, without gaps. */
@@ -67,6 +57,7 @@
 
   constructor(options: ConfigKeeperOptions) {
     this.#options = options;
+    this.#stored = new ConfigStore(options);
   }
 
   /** The version in force here. */
@@ -96,6 +87,11 @@
     this.#listeners.forEach((listener) => listener(next));
   }
 
+  /** Accepted patches, newest first, at most `limit`. */
+  async history(options: { limit?: number } = {}): Promise<PatchRecord[]> {
+    return await this.#stored.history(options);
+  }
+
   /** Applies records received from a peer, as far as they follow. */
   adoptRecords(records: readonly PatchRecord[]): void {
     let next = this.#snapshot;
@@ -126,7 +122,7 @@
 
   /** Reads the store's version and puts it in force. */
   async refresh(): Promise<void> {
-    const stored = await this.#readHead();
+    const stored = await this.#stored.readHead();
     await this.#catchUp(stored.head);
   }
 
@@ -146,7 +142,7 @@
   async patch(req: PatchRequest): Promise<PatchOutcome> {
     const text = JSON.stringify(req.patch);
     const fingerprint = contentDigest(text);
-    const stored = await this.#readHead();
+    const stored = await this.#stored.readHead();
     await this.#catchUp(stored.head);
     const repeated = findPatch(stored.head, req.id, fingerprint);
     if (repeated !== undefined) {
@@ -172,7 +168,7 @@
       patch: text,
       headDigest: headDigest(result.snapshot.head),
     };
-    const accepted = await this.#writeHead(stored, {
+    const accepted = await this.#stored.writeHead(stored, {
       record,
       head: result.snapshot.head,
       added: result.added,
@@ -191,39 +187,6 @@
     return { version, repeated: false };
   }
 
-  /** Accepted patches, newest first, at most `limit`. */
-  async history({ limit = 50 }: { limit?: number } = {}): Promise<
-    PatchRecord[]
-  > {
-    const { store } = this.#options;
-    const entries = await store.list("config_read", HISTORY_PREFIX);
-    return entries
-      .map((entry) => parseRecord(entry.value))
-      .sort((a, b) => b.version - a.version)
-      .slice(0, limit);
-  }
-
-  /** Reads chunks from the store. */
-  readonly readStoreChunks: ChunkReader = async (digests) => {
-    const { store } = this.#options;
-    const found = new Map<string, Uint8Array>();
-    if (digests.length > 16) {
-      for (
-        const { key, value } of await store.list("config_read", CHUNK_PREFIX)
-      ) {
-        found.set(key.slice(CHUNK_PREFIX.length), value);
-      }
-      return found;
-    }
-    for (const digest of digests) {
-      const entry = await store.get("config_read", CHUNK_PREFIX + digest);
-      if (entry !== undefined) {
-        found.set(digest, entry.value);
-      }
-    }
-    return found;
-  };
-
   /** The chunks of the version in force that are among `digests`. */
   ownChunks(digests: readonly string[]): Buffer[] {
     const { head, base, chunks } = this.#snapshot;
@@ -236,25 +199,14 @@
       : found;
   }
 
-  async #readHead(): Promise<StoredHead> {
-    const entry = await this.#options.store.get("config_read", HEAD_KEY);
-    return entry === undefined
-      ? { head: emptySnapshot().head, modRevision: 0n }
-      : {
-        head: decodeHead(Buffer.from(entry.value).toString("utf8")),
-        modRevision: entry.modRevision,
-      };
-  }
-
   async #catchUp(head: ConfigHead): Promise<void> {
     if (head.version === this.#snapshot.version + 1) {
-      const { store } = this.#options;
-      const entry = await store.get("config_read", historyKey(head.version));
-      if (entry !== undefined) {
-        this.adoptRecords([parseRecord(entry.value)]);
+      const record = await this.#stored.record(head.version);
+      if (record !== undefined) {
+        this.adoptRecords([record]);
       }
     }
-    await this.adoptHead(head, this.readStoreChunks);
+    await this.adoptHead(head, this.#stored.readChunks);
   }
 
   #checkVersion(req: PatchRequest, current: number): void {
@@ -268,72 +220,8 @@
     }
   }
 
-  async #writeHead(stored: StoredHead, next: {
-    record: PatchRecord;
-    head: ConfigHead;
-    added: ReadonlyMap<string, Buffer>;
-    dropped: readonly string[];
-    fingerprint: string;
-  }): Promise<boolean> {
-    const { record, head, added, dropped } = next;
-    const put = (key: string, value: Uint8Array): StoreWrite => ({
-      kind: "put",
-      key,
-      value,
-    });
-    const writes: StoreWrite[] = [
-      put(HEAD_KEY, Buffer.from(encodeHead(head), "utf8")),
-      put(historyKey(record.version), Buffer.from(JSON.stringify(record))),
-      ...[...added].map(([digest, chunk]) => put(CHUNK_PREFIX + digest, chunk)),
-      ...dropped.map((digest): StoreWrite => ({
-        kind: "delete",
-        key: CHUNK_PREFIX + digest,
-      })),
-      { kind: "delete", key: historyKey(record.version - HISTORY_KEPT) },
-    ];
-    try {
-      const { succeeded } = await this.#options.store.transact("config_patch", {
-        conditions: [
-          stored.modRevision === 0n ? { kind: "absent", key: HEAD_KEY } : {
-            kind: "unchanged",
-            key: HEAD_KEY,
-            modRevision: stored.modRevision,
-          },
-        ],
-        writes,
-      });
-      return succeeded;
-    } catch (err) {
-      if (!isKind(err, "store_outcome_unknown")) {
-        throw err;
-      }
-      return await this.#readBack(record.id, next.fingerprint, stored);
-    }
-  }
-
-  /** Tells whether a write whose answer was lost has taken effect. */
-  async #readBack(
-    id: string,
-    fingerprint: string,
-    before: StoredHead,
-  ): Promise<boolean> {
-    let now: StoredHead;
-    try {
-      now = await this.#readHead();
-    } catch (err) {
-      throw outcomeUnknown(err);
-    }
-    if (findPatch(now.head, id, fingerprint) !== undefined) {
-      return true;
-    }
-    if (now.modRevision === before.modRevision) {
-      throw outcomeUnknown();
-    }
-    return false;
-  }
-
   async #lostRace(id: string, fingerprint: string): Promise<RouterError> {
-    const { head } = await this.#readHead();
+    const { head } = await this.#stored.readHead();
     invariant(
       "config.refused_patch_not_in_head",
       findPatch(head, id, fingerprint) === undefined,
@@ -359,34 +247,3 @@
     );
   }
 }
-
-function historyKey(version: number): string {
-  return HISTORY_PREFIX + String(version).padStart(VERSION_DIGITS, "0");
-}
-
-function parseRecord(value: Uint8Array): PatchRecord {
-  return JSON.parse(Buffer.from(value).toString("utf8")) as PatchRecord;
-}
-
-function findPatch(
-  head: ConfigHead,
-  id: string,
-  fingerprint: string,
-): number | undefined {
-  const found = head.patches.find((entry) => entry.id === id);
-  if (found !== undefined && found.fingerprint !== fingerprint) {
-    throw new RouterError(
-      "config_conflict",
-      "another patch was accepted under this id",
-    );
-  }
-  return found?.version;
-}
-
-function outcomeUnknown(cause?: unknown): RouterError {
-  return new RouterError(
-    "config_outcome_unknown",
-    "whether the patch was accepted cannot be told; repeat it under its id",
-    { cause },
-  );
-}
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -4,10 +4,10 @@
 export {
   ConfigKeeper,
   type ConfigKeeperOptions,
-  HEAD_KEY,
   type PatchOutcome,
   type PatchRequest,
 } from "./config_keeper.ts";
+export { HEAD_KEY } from "./config_store.ts";
 export {
   type ConfigHead,
   contentDigest,
--- /dev/null
+++ b/packages/endpoint/src/endpoint_http.ts
@@ -0,0 +1,188 @@
+import { Buffer } from "node:buffer";
+import { Readable } from "node:stream";
+import { EventSourceParserStream } from "eventsource-parser/stream";
+import type { Dispatcher } from "undici";
+import type { ChatCall, StreamEvent } from "./endpoint_client.ts";
+import { EndpointError } from "./endpoint_error.ts";
+import type { SendState } from "./send_tracker.ts";
+
+/** Request and response header that matches an answer to its request. */
+export const REQUEST_ID_HEADER = "x-request-id";
+/** Request header with the priority of the work. */
+export const PRIORITY_HEADER = "x-limpetshed-priority";
+/** Request header with the chat key, hexadecimal. */
+export const CHAT_KEY_HEADER = "x-limpetshed-chat";
+/** Response header by which an endpoint says that it did not run a call. */
+export const NOT_RUN_HEADER = "x-not-run";
+
+const MAX_WHOLE_ANSWER_BYTES = 16 * 1_048_576;
+
+/** One request to an endpoint. */
+export interface EndpointRequest {
+  method: Dispatcher.HttpMethod;
+  path: string;
+  headers?: Record<string, string>;
+  body?: Readable | string | null;
+}
+
+/** The request that runs a chat. */
+export function chatRequest(call: ChatCall): EndpointRequest {
+  return {
+    method: "POST",
+    path: "/v1/chat/completions",
+    headers: {
+      "content-type": "application/json",
+      [REQUEST_ID_HEADER]: call.requestId,
+      [PRIORITY_HEADER]: call.priority,
+      [CHAT_KEY_HEADER]: call.chatKey,
+    },
+    body: call.body,
+  };
+}
+
+/** A request with a JSON body. */
+export function jsonRequest(path: string, data: unknown): EndpointRequest {
+  return {
+    method: "POST",
+    path,
+    headers: { "content-type": "application/json" },
+    body: JSON.stringify(data),
+  };
+}
+
+/** Parses a stream of server-sent events. */
+export async function* parseEvents(body: Readable): AsyncIterable<StreamEvent> {
+  const events = Readable.toWeb(body)
+    .pipeThrough(new TextDecoderStream())
+    .pipeThrough(new EventSourceParserStream());
+  try {
+    for await (const event of events) {
+      const sequence = Number(event.id);
+      if (event.id !== undefined && Number.isSafeInteger(sequence)) {
+        yield { sequence, data: event.data };
+      }
+    }
+  } finally {
+    discard(body);
+  }
+}
+
+/** Drops the rest of a body; its error, if any, is of no interest. */
+function discard(body: Readable): void {
+  body.on("error", () => undefined);
+  body.destroy();
+}
+
+/** Reads a body of bounded size. */
+export async function readText(body: Readable): Promise<string> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of body) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_WHOLE_ANSWER_BYTES) {
+      discard(body);
+      throw new EndpointError("endpoint_failed", "the answer is too large");
+    }
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+/** Reads a JSON answer with status 200. */
+export async function readJson<T>(res: Dispatcher.ResponseData): Promise<T> {
+  const text = await readText(res.body);
+  if (res.statusCode !== 200) {
+    throw statusError(res.statusCode, text);
+  }
+  try {
+    return JSON.parse(text) as T;
+  } catch (err) {
+    throw new EndpointError("endpoint_failed", "the answer is not JSON", {
+      cause: err,
+    });
+  }
+}
+
+/** Refuses an answer that belongs to another request. */
+export function checkRequestId(
+  res: Dispatcher.ResponseData,
+  expected: string,
+): void {
+  const actual = res.headers[REQUEST_ID_HEADER];
+  if (actual !== expected) {
+    discard(res.body);
+    throw new EndpointError(
+      "endpoint_failed",
+      "the endpoint answered another request",
+    );
+  }
+}
+
+/** Says truly whether a request that failed may have run. */
+export function sendError(
+  err: unknown,
+  state: SendState,
+  signal: AbortSignal,
+): EndpointError {
+  if (!state.started) {
+    return new EndpointError(
+      "endpoint_unreachable",
+      "the endpoint could not be reached",
+      { cause: err },
+    );
+  }
+  return new EndpointError(
+    "endpoint_failed",
+    "the endpoint did not answer",
+    { cause: err, connectionLost: !signal.aborted },
+  );
+}
+
+/** An answer that broke off. */
+export function lostAnswer(err: unknown): EndpointError {
+  return err instanceof EndpointError ? err : new EndpointError(
+    "endpoint_failed",
+    "the answer broke off",
+    { cause: err, connectionLost: true },
+  );
+}
+
+/** An answer that is no success. */
+export function statusError(status: number, text: string): EndpointError {
+  if (status >= 400 && status < 500 && status !== 408 && status !== 429) {
+    return new EndpointError(
+      "invalid_request",
+      `the endpoint refused the request with status ${status}`,
+      { faults: [text.slice(0, 500)] },
+    );
+  }
+  return new EndpointError(
+    "endpoint_failed",
+    `the endpoint answered with status ${status}`,
+    { cause: new Error(text.slice(0, 200)) },
+  );
+}
+
+const HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Drops the headers that concern one connection only. */
+export function cleanHeaders(
+  headers: Record<string, string | string[] | undefined>,
+): Record<string, string | string[]> {
+  const kept: Record<string, string | string[]> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined && !HOP_HEADERS.has(name.toLowerCase())) {
+      kept[name] = value;
+    }
+  }
+  return kept;
+}
--- a/packages/endpoint/src/http_endpoint_client.ts
+++ b/packages/endpoint/src/http_endpoint_client.ts
@@ -1,6 +1,3 @@
-import { EventSourceParserStream } from "eventsource-parser/stream";
-import { Buffer } from "node:buffer";
-import { Readable } from "node:stream";
 import { Client, type Dispatcher, Pool } from "undici";
 import type { Metrics } from "@limpetshed/observe";
 import { readAnswer } from "./answer_stream.ts";
@@ -16,20 +13,25 @@
   type WholeAnswer,
 } from "./endpoint_client.ts";
 import { EndpointError } from "./endpoint_error.ts";
+import {
+  chatRequest,
+  checkRequestId,
+  cleanHeaders,
+  type EndpointRequest,
+  jsonRequest,
+  lostAnswer,
+  NOT_RUN_HEADER,
+  parseEvents,
+  readJson,
+  readText,
+  REQUEST_ID_HEADER,
+  sendError,
+  statusError,
+} from "./endpoint_http.ts";
 import { type SendState, trackSend } from "./send_tracker.ts";
 
-/** Request and response header that matches an answer to its request. */
-export const REQUEST_ID_HEADER = "x-request-id";
-/** Request header with the priority of the work. */
-export const PRIORITY_HEADER = "x-limpetshed-priority";
-/** Request header with the chat key, hexadecimal. */
-export const CHAT_KEY_HEADER = "x-limpetshed-chat";
-/** Response header by which an endpoint says that it did not run a call. */
-export const NOT_RUN_HEADER = "x-not-run";
-
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 4_000;
-const MAX_WHOLE_ANSWER_BYTES = 16 * 1_048_576;
 
 /** Options of {@linkcode HttpEndpointClient}. */
 export interface HttpEndpointClientOptions {
@@ -261,160 +263,3 @@
     return pool;
   }
 }
-
-interface EndpointRequest {
-  method: Dispatcher.HttpMethod;
-  path: string;
-  headers?: Record<string, string>;
-  body?: Readable | string | null;
-}
-
-function chatRequest(call: ChatCall): EndpointRequest {
-  return {
-    method: "POST",
-    path: "/v1/chat/completions",
-    headers: {
-      "content-type": "application/json",
-      [REQUEST_ID_HEADER]: call.requestId,
-      [PRIORITY_HEADER]: call.priority,
-      [CHAT_KEY_HEADER]: call.chatKey,
-    },
-    body: call.body,
-  };
-}
-
-function jsonRequest(path: string, data: unknown): EndpointRequest {
-  return {
-    method: "POST",
-    path,
-    headers: { "content-type": "application/json" },
-    body: JSON.stringify(data),
-  };
-}
-
-async function* parseEvents(body: Readable): AsyncIterable<StreamEvent> {
-  const events = Readable.toWeb(body)
-    .pipeThrough(new TextDecoderStream())
-    .pipeThrough(new EventSourceParserStream());
-  try {
-    for await (const event of events) {
-      const sequence = Number(event.id);
-      if (event.id !== undefined && Number.isSafeInteger(sequence)) {
-        yield { sequence, data: event.data };
-      }
-    }
-  } finally {
-    discard(body);
-  }
-}
-
-/** Drops the rest of a body; its error, if any, is of no interest. */
-function discard(body: Readable): void {
-  body.on("error", () => undefined);
-  body.destroy();
-}
-
-async function readText(body: Readable): Promise<string> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of body) {
-    bytes += (chunk as Buffer).length;
-    if (bytes > MAX_WHOLE_ANSWER_BYTES) {
-      discard(body);
-      throw new EndpointError("endpoint_failed", "the answer is too large");
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString("utf8");
-}
-
-async function readJson<T>(res: Dispatcher.ResponseData): Promise<T> {
-  const text = await readText(res.body);
-  if (res.statusCode !== 200) {
-    throw statusError(res.statusCode, text);
-  }
-  try {
-    return JSON.parse(text) as T;
-  } catch (err) {
-    throw new EndpointError("endpoint_failed", "the answer is not JSON", {
-      cause: err,
-    });
-  }
-}
-
-function checkRequestId(res: Dispatcher.ResponseData, expected: string): void {
-  const actual = res.headers[REQUEST_ID_HEADER];
-  if (actual !== expected) {
-    discard(res.body);
-    throw new EndpointError(
-      "endpoint_failed",
-      "the endpoint answered another request",
-    );
-  }
-}
-
-function sendError(
-  err: unknown,
-  state: SendState,
-  signal: AbortSignal,
-): EndpointError {
-  if (!state.started) {
-    return new EndpointError(
-      "endpoint_unreachable",
-      "the endpoint could not be reached",
-      { cause: err },
-    );
-  }
-  return new EndpointError(
-    "endpoint_failed",
-    "the endpoint did not answer",
-    { cause: err, connectionLost: !signal.aborted },
-  );
-}
-
-function lostAnswer(err: unknown): EndpointError {
-  return err instanceof EndpointError ? err : new EndpointError(
-    "endpoint_failed",
-    "the answer broke off",
-    { cause: err, connectionLost: true },
-  );
-}
-
-function statusError(status: number, text: string): EndpointError {
-  if (status >= 400 && status < 500 && status !== 408 && status !== 429) {
-    return new EndpointError(
-      "invalid_request",
-      `the endpoint refused the request with status ${status}`,
-      { faults: [text.slice(0, 500)] },
-    );
-  }
-  return new EndpointError(
-    "endpoint_failed",
-    `the endpoint answered with status ${status}`,
-    { cause: new Error(text.slice(0, 200)) },
-  );
-}
-
-const HOP_HEADERS = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
-/** Drops the headers that concern one connection only. */
-export function cleanHeaders(
-  headers: Record<string, string | string[] | undefined>,
-): Record<string, string | string[]> {
-  const kept: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !HOP_HEADERS.has(name.toLowerCase())) {
-      kept[name] = value;
-    }
-  }
-  return kept;
-}
--- a/packages/endpoint/src/index.ts
+++ b/packages/endpoint/src/index.ts
@@ -21,10 +21,12 @@
 export {
   CHAT_KEY_HEADER,
   cleanHeaders,
-  HttpEndpointClient,
-  type HttpEndpointClientOptions,
   NOT_RUN_HEADER,
   PRIORITY_HEADER,
   REQUEST_ID_HEADER,
+} from "./endpoint_http.ts";
+export {
+  HttpEndpointClient,
+  type HttpEndpointClientOptions,
 } from "./http_endpoint_client.ts";
 export { readUsage } from "./usage.ts";
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -1,10 +1,5 @@
 import { create } from "@bufbuild/protobuf";
-import {
-  type Clock,
-  repeat,
-  type Repeating,
-  type Timer,
-} from "@limpetshed/base";
+import { type Clock, repeat, type Repeating } from "@limpetshed/base";
 import type { Rng } from "@limpetshed/hashing";
 import type { Logger, Metrics } from "@limpetshed/observe";
 import {
@@ -14,10 +9,13 @@
 } from "@limpetshed/peer";
 import type { VmChanges } from "@limpetshed/vm_list";
 import type { HeartbeatContributor } from "./heartbeat_contributor.ts";
+import { DeathTimers } from "./death_timers.ts";
 import { NewsQueue } from "./news_queue.ts";
 import { toRecord } from "./node_record.ts";
 import { NodeTable } from "./node_table.ts";
 import type { NodeView } from "./node_view.ts";
+import { Prober } from "./prober.ts";
+import { TargetPicker } from "./target_picker.ts";
 
 /** Options of {@linkcode Membership}. */
 export interface MembershipOptions {
@@ -39,17 +37,6 @@
   remoteEvery?: number;
 }
 
-/**
- * Milliseconds without an answered heartbeat after which a node must not act
- * as an owner; shorter than the time until peers hold it dead.
- */
-export const OUT_OF_CONTACT_MS = 2_500;
-/** Peers asked to probe a node that did not answer. */
-const INDIRECT_PROBES = 2;
-/** Fleet size up to which the suspicion timeout is not stretched. */
-const SMALL_FLEET = 10;
-const FORGET_MS = 60_000;
-
 /**
  * Which nodes are live: own heartbeats joined with the platform's vm list.
  * One heartbeat per interval goes to the next peer of a shuffled round, so
@@ -61,12 +48,11 @@
   readonly #news = new NewsQueue();
   readonly #contributors: HeartbeatContributor[] = [];
   readonly #listeners: (() => void)[] = [];
-  readonly #deaths = new Map<string, Timer>();
-  #round: string[] = [];
-  #beats = 0;
+  readonly #prober: Prober;
+  readonly #deaths: DeathTimers;
+  readonly #targets: TargetPicker;
   #viewNumber = 0;
-  #timesOutOfContact = 0;
-  #lastAckMs: number;
+  #timesDeclaredDead = 0;
   #beating: Repeating | undefined;
 
   constructor(options: MembershipOptions) {
@@ -77,7 +63,6 @@
       remoteEvery: 5,
       ...options,
     };
-    this.#lastAckMs = options.clock.monotonicMs();
     this.#table = new NodeTable({
       self: {
         ...options.self,
@@ -89,10 +74,19 @@
     });
     this.#table.onChange = (view) => this.#changed(view);
     this.#table.onDeclaredDead = () => {
-      this.#timesOutOfContact += 1;
+      this.#timesDeclaredDead += 1;
     };
+    const table = this.#table;
+    this.#prober = new Prober({
+      ...this.#options,
+      table,
+      timeoutMs: this.#options.heartbeatTimeoutMs,
+      makeHeartbeat: () => this.#makeHeartbeat(),
+      absorb: (heartbeat) => this.#absorb(heartbeat),
+    });
+    this.#deaths = new DeathTimers({ ...this.#options, table });
+    this.#targets = new TargetPicker({ ...this.#options, table });
     options.handlers.on("heartbeat", (beat) => this.#onHeartbeat(beat));
-    options.handlers.on("probeRequest", (req) => this.#onProbe(req));
   }
 
   /** This node. */
@@ -110,12 +104,12 @@
    * taken its place: no heartbeat answered, or held dead by a peer.
    */
   get timesOutOfContact(): number {
-    return this.#timesOutOfContact;
+    return this.#prober.contactGaps + this.#timesDeclaredDead;
   }
 
   /** Milliseconds since this node sent the last heartbeat that was answered. */
   get lastAckAgeMs(): number {
-    return this.#options.clock.monotonicMs() - this.#lastAckMs;
+    return this.#prober.lastAckAgeMs;
   }
 
   /** All known nodes, this one included. */
@@ -194,7 +188,7 @@
     const unheard = this.#table.others().filter((view) =>
       view.state === "unheard" && view.region === this.self.region
     );
-    await Promise.all(unheard.map((view) => this.#ping(view)));
+    await Promise.all(unheard.map((view) => this.#prober.ping(view)));
   }
 
   /** Sends heartbeats to `count` random peers at once, to spread news. */
@@ -203,7 +197,7 @@
       view.state === "alive" && view.region === this.self.region
     );
     for (const view of this.#options.rng.shuffle(peers).slice(0, count)) {
-      void this.#ping(view);
+      void this.#prober.ping(view);
     }
   }
 
@@ -211,7 +205,7 @@
   reportUnreachable(id: string): void {
     const view = this.#table.get(id);
     if (view?.state === "alive") {
-      void this.#probe(view);
+      void this.#prober.probe(view);
     }
   }
 
@@ -221,131 +215,20 @@
     const peers = this.#table.others().filter((view) =>
       view.state === "alive" && view.region === this.self.region
     );
-    await Promise.all(peers.map((view) => this.#ping(view)));
+    await Promise.all(peers.map((view) => this.#prober.ping(view)));
   }
 
   /** Stops heartbeats. */
   async close(): Promise<void> {
-    for (const timer of this.#deaths.values()) {
-      timer.cancel();
-    }
-    this.#deaths.clear();
+    this.#deaths.close();
     await this.#beating?.close();
   }
 
   async #beat(): Promise<void> {
-    const target = this.#nextTarget();
+    const target = this.#targets.next();
     if (target !== undefined) {
-      await this.#probe(target);
-    }
-  }
-
-  #nextTarget(): Readonly<NodeView> | undefined {
-    this.#beats += 1;
-    const others = this.#table.others();
-    if (this.#beats % this.#options.remoteEvery === 0) {
-      const remote = others.filter((view) =>
-        view.region !== this.self.region && view.state !== "dead"
-      );
-      const dead = others.filter((view) =>
-        view.state === "dead" && view.listed
-      );
-      const chosen = this.#options.rng.pick([...remote, ...dead]);
-      if (chosen !== undefined) {
-        return chosen;
-      }
-    }
-    for (;;) {
-      const id = this.#round.pop();
-      if (id === undefined) {
-        break;
-      }
-      const view = this.#table.get(id);
-      if (view !== undefined && view.state !== "dead") {
-        return view;
-      }
-    }
-    const local = others.filter((view) =>
-      view.region === this.self.region && view.state !== "dead"
-    );
-    this.#round = this.#options.rng.shuffle(local.map((view) => view.id));
-    const first = this.#round.pop();
-    return first === undefined ? undefined : this.#table.get(first);
-  }
-
-  async #probe(view: Readonly<NodeView>): Promise<void> {
-    if (await this.#ping(view)) {
-      return;
-    }
-    if (view.state === "unheard" || view.state === "dead") {
-      return;
-    }
-    if (view.state === "leaving") {
-      this.#table.setState(view.id, "dead");
-      return;
-    }
-    if (!await this.#probeThroughOthers(view)) {
-      this.#suspect(view.id);
-    }
-  }
-
-  async #ping(view: Readonly<NodeView>): Promise<boolean> {
-    const { transport, heartbeatTimeoutMs } = this.#options;
-    const message = this.#makeHeartbeat();
-    const sentAtMs = this.#options.clock.monotonicMs();
-    try {
-      const answer = await transport.call(view.address, "heartbeat", {
-        message,
-        timeoutMs: heartbeatTimeoutMs,
-      });
-      this.#noteAnswered(sentAtMs);
-      this.#absorb(answer);
-      return true;
-    } catch {
-      return false;
-    }
-  }
-
-  #noteAnswered(sentAtMs: number): void {
-    if (sentAtMs - this.#lastAckMs > OUT_OF_CONTACT_MS) {
-      this.#timesOutOfContact += 1;
+      await this.#prober.probe(target);
     }
-    this.#lastAckMs = Math.max(this.#lastAckMs, sentAtMs);
-  }
-
-  async #probeThroughOthers(view: Readonly<NodeView>): Promise<boolean> {
-    const { transport, heartbeatTimeoutMs, rng } = this.#options;
-    const helpers = rng.shuffle(
-      this.#table.others().filter((other) =>
-        other.id !== view.id && other.state === "alive" &&
-        other.region === view.region
-      ),
-    ).slice(0, INDIRECT_PROBES);
-    const answers = await Promise.all(helpers.map(async (helper) => {
-      try {
-        const answer = await transport.call(helper.address, "probeRequest", {
-          message: create(peerpb.ProbeRequestSchema, { targetId: view.id }),
-          timeoutMs: 2 * heartbeatTimeoutMs,
-        });
-        return answer.reachable;
-      } catch {
-        return false;
-      }
-    }));
-    return answers.includes(true);
-  }
-
-  #suspect(id: string): void {
-    if (this.#table.get(id)?.state === "alive") {
-      this.#table.setState(id, "suspect");
-    }
-  }
-
-  /** Milliseconds from suspicion to death; grows with the fleet's size. */
-  #suspicionMs(): number {
-    const size = this.#table.all().length;
-    const stretch = Math.max(1, Math.log(size) / Math.log(SMALL_FLEET));
-    return this.#options.suspectTimeoutMs * stretch;
   }
 
   #changed(view: NodeView): void {
@@ -353,7 +236,7 @@
     if (view.state !== "unheard") {
       this.#news.add(view);
     }
-    this.#scheduleDeath(view);
+    this.#deaths.schedule(view);
     this.#options.metrics.gauge(
       "membership.alive",
       this.#table.all().filter((other) => other.state === "alive").length,
@@ -367,30 +250,6 @@
     }
   }
 
-  #scheduleDeath(view: NodeView): void {
-    this.#deaths.get(view.id)?.cancel();
-    this.#deaths.delete(view.id);
-    const { clock } = this.#options;
-    if (view.state === "suspect") {
-      const timer = clock.setTimer(
-        this.#suspicionMs(),
-        () => this.#table.setState(view.id, "dead"),
-      );
-      this.#deaths.set(view.id, timer);
-    }
-    if (view.state === "dead" && this.#table.get(view.id) !== undefined) {
-      const timer = clock.setTimer(FORGET_MS, () => this.#forget(view.id));
-      this.#deaths.set(view.id, timer);
-    }
-  }
-
-  #forget(id: string): void {
-    this.#deaths.delete(id);
-    if (this.#table.get(id)?.listed === false) {
-      this.#table.forget(id);
-    }
-  }
-
   #makeHeartbeat(): peerpb.Heartbeat {
     const heartbeat = create(peerpb.HeartbeatSchema, {
       sender: toRecord(this.#table.self),
@@ -435,10 +294,4 @@
       this.#news.add(held);
     }
   }
-
-  async #onProbe(req: peerpb.ProbeRequest): Promise<peerpb.ProbeResponse> {
-    const view = this.#table.get(req.targetId);
-    const reachable = view !== undefined && await this.#ping(view);
-    return create(peerpb.ProbeResponseSchema, { reachable });
-  }
 }
