fix(placement): spread work beyond the group of a long leading text

Cause: with 20 endpoints all chats of 4 catalogues asked the same 14 endpoints and queued there while others were idle. Change: endpoints beyond the prefix group are ranked by the chat's own key, and up to 8 are asked before the request waits.

--- a/packages/placement/src/owner_placement.ts
+++ b/packages/placement/src/owner_placement.ts
@@ -33,8 +33,8 @@
 
 /** Endpoints among which chats with one long leading text are kept. */
 const PREFIX_GROUP = 3;
-/** Endpoints asked before the request waits at the least loaded. */
-const MAX_ASKED = 4;
+/** Endpoints asked, beside the last place, before the request waits. */
+const MAX_ASKED = 8;
 const AVOID_MS = 500;
 const DISAGREEMENT_PAUSE_MS = 60;
 const MAX_DISAGREEMENTS = 4;
@@ -137,7 +137,8 @@
 
   /**
    * New chats with one long leading text share a few endpoints, which then
-   * hold that text; within the group each chat has its own order.
+   * hold that text. Within the group, and beyond it when the group is at its
+   * limit, each chat has an order of its own, so that load spreads.
    */
   #rank(req: PlaceRequest, usable: readonly EndpointInfo[]): EndpointInfo[] {
     const { keys, fingerprint } = req;
@@ -148,10 +149,9 @@
       return rankEndpoints(keys.chatKey, usable);
     }
     const byPrefix = rankEndpoints(keys.prefixKey, usable);
-    const group = byPrefix.slice(0, PREFIX_GROUP);
     return [
-      ...rankEndpoints(keys.chatKey, group),
-      ...byPrefix.slice(PREFIX_GROUP),
+      ...rankEndpoints(keys.chatKey, byPrefix.slice(0, PREFIX_GROUP)),
+      ...rankEndpoints(keys.chatKey, byPrefix.slice(PREFIX_GROUP)),
     ];
   }
 
