perf(peer): count bytes on the wire, not by encoding each frame again

Cause: every frame sent or received was encoded once more only to count its bytes. Change: the byte metrics come from the sockets, framing included.

--- a/packages/node/src/running_node.ts
+++ b/packages/node/src/running_node.ts
@@ -1,6 +1,7 @@
 import {
   onInvariantBroken,
   repeat,
+  type Repeating,
   sleep,
   SystemClock,
 } from "@limpetshed/base";
@@ -25,6 +26,7 @@
 import { RequestGate } from "./request_gate.ts";
 import { SecretFiles } from "./secret_files.ts";
 
+const METER_INTERVAL_MS = 10_000;
 const MAX_SEED = 2 ** 31;
 const OPERATOR_BODY_FACTOR = 4;
 
@@ -41,7 +43,8 @@
   readonly #callers: HttpListener;
   readonly #operators: HttpListener;
   readonly #secrets: SecretFiles;
-  readonly #reloading: { close(): Promise<void> };
+  readonly #reloading: Repeating;
+  readonly #metering: Repeating;
 
   private constructor(settings: Settings) {
     this.settings = settings;
@@ -106,6 +109,10 @@
       }),
       maxHeaderBytes: limits.max_header,
     });
+    this.#metering = repeat(this.#clock, () => this.#meterWire(), {
+      everyMs: METER_INTERVAL_MS,
+      onError: (err) => this.logger.warn({ err }, "wire not metered"),
+    });
     this.#reloading = repeat(this.#clock, () => this.#reload(), {
       everyMs: settings.tls.reload_interval,
       onError: (err) => this.logger.warn({ err }, "secrets not reloaded"),
@@ -166,12 +173,19 @@
       this.#callers.drain().catch(() => undefined),
       this.#operators.drain().catch(() => undefined),
       this.#reloading.close(),
+      this.#metering.close(),
     ]);
     await this.node.close();
     await this.#peers.close();
     await this.metrics.close();
   }
 
+  #meterWire(): void {
+    const { sent, received } = this.meter.totals();
+    this.metrics.gauge("peer.bytes_sent", sent);
+    this.metrics.gauge("peer.bytes_received", received);
+  }
+
   #reload(): void {
     if (this.#secrets.reload()) {
       this.#peers.reloadTls();
--- a/packages/peer/src/connect_peer_transport.ts
+++ b/packages/peer/src/connect_peer_transport.ts
@@ -90,10 +90,7 @@
     const headers = { [PEER_KEY_HEADER]: credentials.key };
     const link = new Link({
       open: (outgoing) => client.link(outgoing, { headers }),
-      onFrame: (direction, bytes) => {
-        metrics.count(`peer.frames_${direction}`);
-        metrics.count(`peer.bytes_${direction}`, bytes);
-      },
+      onFrame: (direction) => metrics.count(`peer.frames_${direction}`),
     });
     const opened = { link, sessions };
     this.#links.set(address, opened);
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -1,4 +1,4 @@
-import { create, toBinary } from "@bufbuild/protobuf";
+import { create } from "@bufbuild/protobuf";
 import { AsyncQueue, type Deferred, deferred } from "@limpetshed/base";
 import { RouterError } from "@limpetshed/errors";
 import {
@@ -12,11 +12,8 @@
   outgoing: AsyncIterable<Frame>,
 ) => AsyncIterable<Frame>;
 
-/** Receives the size of each frame in bytes. */
-export type FrameCounter = (
-  direction: "sent" | "received",
-  bytes: number,
-) => void;
+/** Counts frames. */
+export type FrameCounter = (direction: "sent" | "received") => void;
 
 /** One kept stream to a peer; answers are matched to requests by id. */
 export class Link {
@@ -44,7 +41,7 @@
     }
     this.#pending.set(id, pending);
     const frame = create(FrameSchema, { id, body });
-    this.#onFrame("sent", frameBytes(frame));
+    this.#onFrame("sent");
     this.#outgoing.push(frame);
     return { id, answer: pending.promise };
   }
@@ -63,7 +60,7 @@
   async #read(incoming: AsyncIterable<Frame>): Promise<void> {
     try {
       for await (const frame of incoming) {
-        this.#onFrame("received", frameBytes(frame));
+        this.#onFrame("received");
         this.#settle(frame);
       }
     } catch {
@@ -94,11 +91,6 @@
   }
 }
 
-/** Size of a frame's encoding in bytes. */
-export function frameBytes(frame: Frame): number {
-  return toBinary(FrameSchema, frame).length;
-}
-
 function linkLost(): RouterError {
   return new RouterError("peer_unreachable", "the link to the peer ended");
 }
--- a/packages/peer/src/peer_server.ts
+++ b/packages/peer/src/peer_server.ts
@@ -11,7 +11,6 @@
   FrameSchema,
   PeerService,
 } from "./generated/limpetshed/peer/v1/peer_pb.ts";
-import { frameBytes } from "./link.ts";
 import {
   PEER_KEY_HEADER,
   type PeerCredentials,
@@ -109,11 +108,12 @@
     frames: AsyncIterable<Frame>,
     answers: AsyncQueue<Frame>,
   ): Promise<void> {
+    const { metrics } = this.#options;
     try {
       for await (const frame of frames) {
-        this.#count("received", frame);
+        metrics.count("peer.frames_received");
         void this.#answer(frame).then((answer) => {
-          this.#count("sent", answer);
+          metrics.count("peer.frames_sent");
           answers.push(answer);
         });
       }
@@ -135,12 +135,6 @@
       return failureFrame(id, toRouterError(err).kind);
     }
   }
-
-  #count(direction: "sent" | "received", frame: Frame): void {
-    const { metrics } = this.#options;
-    metrics.count(`peer.frames_${direction}`);
-    metrics.count(`peer.bytes_${direction}`, frameBytes(frame));
-  }
 }
 
 function failureFrame(id: bigint, kind: string): Frame {
