perf(admission): renew admissions every 10 s, not every 2 s

Cause: at the target a node holds some 50 admissions of 13 s at 50 owners; renewing them every 2 s alone were 25 messages a second, some 6 KB/s each way. Change: an admission lives 30 s unless renewed, 2 s once its entry node is held dead; releases that got no answer are sent again.

--- a/packages/admission/src/admission_client.ts
+++ b/packages/admission/src/admission_client.ts
@@ -51,9 +51,11 @@
   limit: number;
 }
 
-const RENEW_INTERVAL_MS = 2_000;
+const RENEW_INTERVAL_MS = 10_000;
 const RELEASE_DELAY_MS = 50;
 const RELEASE_TIMEOUT_MS = 1_000;
+const RELEASE_RETRY_MS = 1_000;
+const RELEASE_TRIES = 5;
 const HALF_ID_RANGE = 0x1_0000_0000;
 
 interface OpenHere {
@@ -107,6 +109,7 @@
       priority,
       fingerprint,
       suspect,
+      entryNodeId: membership.self.id,
       waitMs,
       admissionId,
       configVersion: BigInt(config().version),
@@ -209,23 +212,35 @@
     if (released === undefined) {
       return;
     }
-    const { membership, local, transport } = this.#options;
+    const { membership, local } = this.#options;
     const message = create(peerpb.ReleaseRequestSchema, { released });
     if (owner === membership.self.id) {
       local.release(message);
       return;
     }
+    await this.#tell(owner, message, RELEASE_TRIES);
+  }
+
+  /** What no try brings across lapses at the owner, not being renewed. */
+  async #tell(
+    owner: string,
+    message: peerpb.ReleaseRequest,
+    tries: number,
+  ): Promise<void> {
+    const { membership, transport, clock } = this.#options;
+    const address = membership.node(owner)?.address ?? "";
     try {
-      await transport.call(
-        membership.node(owner)?.address ?? "",
-        "releaseRequest",
-        {
-          message,
-          timeoutMs: RELEASE_TIMEOUT_MS,
-        },
-      );
+      await transport.call(address, "releaseRequest", {
+        message,
+        timeoutMs: RELEASE_TIMEOUT_MS,
+      });
     } catch {
-      // The admissions lapse at the owner when they are not renewed.
+      if (tries > 1) {
+        clock.setTimer(
+          RELEASE_RETRY_MS,
+          () => void this.#tell(owner, message, tries - 1),
+        );
+      }
     }
   }
 
@@ -246,7 +261,7 @@
   }
 
   async #renewAll(): Promise<void> {
-    const { owners } = this.#options;
+    const { owners, membership } = this.#options;
     const byOwner = new Map<string, peerpb.OpenAdmission[]>();
     for (const [admissionId, { endpoint, fingerprint }] of this.#open) {
       const { owner } = owners.owners(endpoint.region, endpoint.id);
@@ -258,6 +273,7 @@
         admissionId,
         endpointId: endpoint.id,
         fingerprint,
+        entryNodeId: membership.self.id,
       }));
       byOwner.set(owner, list);
     }
--- a/packages/admission/src/endpoint_ledger.ts
+++ b/packages/admission/src/endpoint_ledger.ts
@@ -4,6 +4,8 @@
 export interface Admission {
   id: bigint;
   fingerprint: bigint;
+  /** Node that holds the caller's connection. */
+  entryNodeId: string;
   /** An endpoint was lost while running this request before. */
   suspect: boolean;
   /** When it was granted or first announced here, monotonic milliseconds. */
@@ -19,7 +21,9 @@
 }
 
 /** Milliseconds that an admission lives without being renewed. */
-export const ADMISSION_TTL_MS = 6_000;
+export const ADMISSION_TTL_MS = 30_000;
+/** The same once the entry node is held dead. */
+const DEAD_ENTRY_TTL_MS = 2_000;
 
 /** The open admissions of one endpoint, kept by its owner. */
 export class EndpointLedger {
@@ -78,6 +82,18 @@
     return admission;
   }
 
+  /** The admissions of a node that is held dead lapse soon. */
+  entryDied(nodeId: string, nowMs: number): void {
+    for (const admission of this.#admissions.values()) {
+      if (admission.entryNodeId === nodeId) {
+        admission.expiresAtMs = Math.min(
+          admission.expiresAtMs,
+          nowMs + DEAD_ENTRY_TTL_MS,
+        );
+      }
+    }
+  }
+
   /** Drops admissions that were not renewed; returns how many. */
   expire(nowMs: number): number {
     let expired = 0;
--- a/packages/admission/src/endpoint_owner.ts
+++ b/packages/admission/src/endpoint_owner.ts
@@ -200,6 +200,7 @@
     ledger.open({
       id: req.admissionId,
       fingerprint: req.fingerprint,
+      entryNodeId: req.entryNodeId,
       suspect: req.suspect,
       openedAtMs: nowMs,
       expiresAtMs: nowMs + ADMISSION_TTL_MS,
--- a/packages/admission/src/owned_endpoints.ts
+++ b/packages/admission/src/owned_endpoints.ts
@@ -50,7 +50,10 @@
   constructor(options: OwnedEndpointsOptions) {
     this.#options = options;
     const { membership, directory, handlers } = options;
-    membership.onChange(() => this.#reassign());
+    membership.onChange(() => {
+      this.#reassign();
+      this.#forgetDead();
+    });
     directory.onChange(() => this.#reassign());
     handlers.on("handoverRequest", (req) => this.#onHandover(req));
   }
@@ -83,10 +86,11 @@
   announce(open: readonly peerpb.OpenAdmission[]): void {
     const openedAtMs = this.#options.clock.monotonicMs();
     const expiresAtMs = openedAtMs + ADMISSION_TTL_MS;
-    for (const { admissionId: id, fingerprint, endpointId } of open) {
+    for (const { admissionId: id, endpointId, ...rest } of open) {
       this.#owned.get(endpointId)?.ledger.announce({
         id,
-        fingerprint,
+        fingerprint: rest.fingerprint,
+        entryNodeId: rest.entryNodeId,
         suspect: false,
         openedAtMs,
         expiresAtMs,
@@ -138,6 +142,17 @@
     }
   }
 
+  /** What dead entry nodes had open lapses soon. */
+  #forgetDead(): void {
+    const { membership, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    for (const { id, state } of membership.nodes()) {
+      if (state === "dead") {
+        this.#owned.forEach(({ ledger }) => ledger.entryDied(id, nowMs));
+      }
+    }
+  }
+
   #take(info: EndpointInfo): void {
     const known = this.#owned.get(info.id);
     if (known?.info.address === info.address) {
@@ -200,10 +215,11 @@
       endpointId: owned.info.id,
       fromNodeId: membership.self.id,
       settled: !owned.isSettling(clock.monotonicMs()),
-      open: owned.ledger.all().map(({ id, fingerprint }) => ({
+      open: owned.ledger.all().map(({ id, fingerprint, entryNodeId }) => ({
         admissionId: id,
         endpointId: owned.info.id,
         fingerprint,
+        entryNodeId,
       })),
     });
     try {
