--- a/packages/node/tests/support/test_fleet.ts
+++ b/packages/node/tests/support/test_fleet.ts
@@ -28,7 +28,6 @@
   firstMs: number | undefined;
   totalMs: number;
   retryAfterMs: number | undefined;
-  endpoint: string | undefined;
 }
 
 /** One chat that a test sends. */
@@ -297,15 +296,7 @@
     const test = this.node(chat.node);
     this.#requests += 1;
     const startMs = this.clock.monotonicMs();
-    const result: TestAnswer = {
-      outcome: "cut_off",
-      run: undefined,
-      text: "",
-      firstMs: undefined,
-      totalMs: 0,
-      retryAfterMs: undefined,
-      endpoint: undefined,
-    };
+    const result = emptyAnswer("cut_off");
     await test.clock.gate();
     const messages = chat.messages ??
       [{ role: "user", content: chat.text ?? "hello" }];
@@ -353,15 +344,7 @@
     const test = this.node(node);
     this.#requests += 1;
     const startMs = this.clock.monotonicMs();
-    const result: TestAnswer = {
-      outcome: "ok",
-      run: undefined,
-      text: "",
-      firstMs: undefined,
-      totalMs: 0,
-      retryAfterMs: undefined,
-      endpoint: undefined,
-    };
+    const result = emptyAnswer("ok");
     await test.clock.gate();
     try {
       const reply = await test.node.plainService.call({
@@ -425,6 +408,17 @@
   };
 }
 
+function emptyAnswer(outcome: string): TestAnswer {
+  return {
+    outcome,
+    run: undefined,
+    text: "",
+    firstMs: undefined,
+    totalMs: 0,
+    retryAfterMs: undefined,
+  };
+}
+
 function note(result: TestAnswer, err: unknown): void {
   if (err instanceof RouterError) {
     result.outcome = err.kind;
--- a/packages/node/tests/zones_and_endpoints_test.ts
+++ b/packages/node/tests/zones_and_endpoints_test.ts
@@ -122,6 +122,59 @@
   });
 });
 
+describe("context of returning chats", () => {
+  const messages = [
+    { role: "system", content: "catalogue ".repeat(400) },
+    { role: "user", content: "first turn" },
+  ];
+
+  it("is copied to where the chat runs next when an endpoint leaves", async () => {
+    const fleet = await TestFleet.ready();
+    await fleet.settle(fleet.chat({ node: "n1", messages }));
+    await fleet.run(1_000);
+    const [first] = fleet.models().filter(({ started }) => started > 0);
+    const zone = fleet.node("n1").node.directory.get(first!.id)!;
+    first!.drain();
+    fleet.listEndpoint(first!.id, zone.availabilityZone, "chat", "leaving");
+    await fleet.run(3_000);
+    await fleet.settle(fleet.chat({ node: "n2", messages }));
+    const next = fleet.models().filter((engine) =>
+      engine !== first && engine.started > 0
+    );
+    expect(next).to.have.length(1);
+    expect(next[0]!.cachedTokens).to.equal(next[0]!.promptTokens);
+    await fleet.close();
+  });
+});
+
+describe("callers that go away", () => {
+  it("cancel their work at the endpoint and free its place", async () => {
+    const fleet = await TestFleet.ready();
+    const caller = new AbortController();
+    const chat = fleet.chat({
+      node: "n1",
+      maxTokens: 1_000,
+      signal: caller.signal,
+    });
+    await fleet.run(200);
+    const load = () =>
+      fleet.models().reduce((sum, { inFlight }) => sum + inFlight, 0);
+    const open = () =>
+      [...fleet.nodes.values()].flatMap(({ node }) =>
+        node.endpointOwner.owned()
+      )
+        .reduce((sum, { ledger }) => sum + ledger.inFlight, 0);
+    expect(load()).to.equal(1);
+    expect(open()).to.equal(1);
+    caller.abort("caller");
+    expect((await fleet.settle(chat)).outcome).to.equal("caller_cancelled");
+    await fleet.run(500);
+    expect(load()).to.equal(0);
+    expect(open()).to.equal(0);
+    await fleet.close();
+  });
+});
+
 describe("deadlines", () => {
   it("says not-run when the deadline passed before the start", async () => {
     const fleet = await TestFleet.ready();
