--- /dev/null
+++ b/packages/observe/tests/logger_test.ts
@@ -0,0 +1,41 @@
+import { expect } from "chai";
+import { describe, it } from "mocha";
+import { makeLogger } from "../src/logger.ts";
+import { METRIC_TABLE } from "../src/metric_table.ts";
+import { Metrics } from "../src/metrics.ts";
+
+describe("logs and metrics", () => {
+  it("writes JSON lines without the value of a secret", () => {
+    const lines: string[] = [];
+    const logger = makeLogger({
+      fields: { node: "n1" },
+      destination: { write: (line) => lines.push(line) },
+    });
+    logger.info({
+      authorization: "Bearer a.hidden",
+      key: "hidden",
+      headers: { authorization: "hidden" },
+      requestId: "r1",
+    }, "request");
+    const [line] = lines;
+    expect(line).not.to.contain("hidden");
+    expect(JSON.parse(line!)).to.include({
+      level: "info",
+      node: "n1",
+      requestId: "r1",
+      msg: "request",
+    });
+  });
+
+  it("counts under documented names only", () => {
+    const metrics = new Metrics();
+    metrics.refused("queue_full");
+    metrics.retried("not_owner");
+    metrics.storeCall("claim");
+    metrics.count("request.total", 2);
+    for (const name of Object.keys(metrics.snapshot())) {
+      expect(METRIC_TABLE, name).to.have.property(name);
+    }
+    expect(metrics.value("request.total")).to.equal(2);
+  });
+});
