test: half-closed callers, TLS towards callers with reload

Cause: both had code but no test; what a half-closed connection means was not written down. Weighed: answering half-closed callers; a caller that vanished would then hold an engine until its whole answer was done. Conclusion: kept.

--- a/packages/cli/tests/support/test_deployment.ts
+++ b/packages/cli/tests/support/test_deployment.ts
@@ -3,7 +3,7 @@
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
 import { RunningNode } from "@limpetshed/node";
-import { readSettings } from "@limpetshed/settings";
+import { readSettings, type Settings } from "@limpetshed/settings";
 import { request } from "undici";
 import { Deployment, memberKeys } from "../../src/deployment.ts";
 import { type NodeAddresses, writeNodeFiles } from "../../src/node_files.ts";
@@ -21,7 +21,12 @@
   nodes: NodeAddresses[] = [];
 
   /** Starts the stand-ins and `count` nodes, and the first configuration. */
-  async start(count: number): Promise<void> {
+  async start(
+    count: number,
+    { change = () => undefined }: {
+      change?: (settings: Settings) => void;
+    } = {},
+  ): Promise<void> {
     await this.deployment.start();
     const ports = await freePorts(3 * count);
     const { availabilityZones } = this.deployment.layout;
@@ -45,6 +50,7 @@
       const settings = readSettings(path);
       settings.log.level = "silent";
       settings.limits.drain_notice = 100;
+      change(settings);
       this.running.push(await RunningNode.start(settings));
     }
     const { status, text } = await this.patch(
