refactor(node): assemble a node in four parts

Cause: the constructor of a node had 112 lines. Change: what it knows, its configuration, its roles and its services are each made by a function of their own.

--- a/packages/node/src/fleet_node.ts
+++ b/packages/node/src/fleet_node.ts
@@ -1,50 +1,27 @@
-import {
-  AdmissionClient,
-  CrashTracker,
-  EndpointOwner,
-} from "@limpetshed/admission";
-import type { Clock } from "@limpetshed/base";
-import { ClaimKeeper } from "@limpetshed/claims";
-import { ConfigKeeper, type ConfigSnapshot } from "@limpetshed/config";
-import { ConfigSpread } from "@limpetshed/config_spread";
-import type { EndpointClient } from "@limpetshed/endpoint";
-import type { Rng } from "@limpetshed/hashing";
-import {
+import type { AdmissionClient, EndpointOwner } from "@limpetshed/admission";
+import type { ClaimKeeper } from "@limpetshed/claims";
+import type { ConfigKeeper } from "@limpetshed/config";
+import type { ConfigSpread } from "@limpetshed/config_spread";
+import type {
   EndpointDirectory,
   Membership,
   OwnerMap,
   VmListPoller,
 } from "@limpetshed/membership";
-import type { Logger, Metrics } from "@limpetshed/observe";
-import { OrderGiver } from "@limpetshed/orders";
-import type { PeerHandlers, PeerTransport } from "@limpetshed/peer";
-import { ChatDirectory, type Placement } from "@limpetshed/placement";
-import type { Settings } from "@limpetshed/settings";
-import { BudgetClient, BudgetOwner, MemberQueue } from "@limpetshed/shares";
-import { type Store, StoreClient } from "@limpetshed/store";
-import type { VmList } from "@limpetshed/vm_list";
-import { CacheMover } from "./cache_mover.ts";
-import { ChatService } from "./chat_service.ts";
-import { makePlacement } from "./make_placement.ts";
-import { PlaceFinder } from "./place_finder.ts";
-import { PlainService } from "./plain_service.ts";
-import { RetryBudget } from "./retry_budget.ts";
-
-/** What a node is built on; tests pass fakes. */
-export interface FleetNodeOptions {
-  settings: Settings;
-  /** Peer address as other nodes reach it. */
-  address: string;
-  clock: Clock;
-  rng: Rng;
-  logger: Logger;
-  metrics: Metrics;
-  store: Store;
-  vmList: VmList;
-  transport: PeerTransport;
-  handlers: PeerHandlers;
-  client: EndpointClient;
-}
+import type { OrderGiver } from "@limpetshed/orders";
+import type { ChatDirectory } from "@limpetshed/placement";
+import type { BudgetClient, BudgetOwner } from "@limpetshed/shares";
+import type { StoreClient } from "@limpetshed/store";
+import type { CacheMover } from "./cache_mover.ts";
+import type { ChatService } from "./chat_service.ts";
+import {
+  type FleetNodeOptions,
+  makeConfigPart,
+  makeServices,
+  makeViewPart,
+  makeWorkPart,
+} from "./fleet_parts.ts";
+import type { PlainService } from "./plain_service.ts";
 
 /** One node of the fleet, without its listeners. */
 export class FleetNode {
@@ -71,116 +48,27 @@
 
   constructor(options: FleetNodeOptions) {
     this.#options = options;
-    const { settings, clock, rng, logger, metrics, client } = options;
-    const { transport, handlers } = options;
-    const { platform, limits, routing } = settings;
-    const common = { clock, rng, logger, metrics, transport, handlers };
-    this.#store = new StoreClient({
-      store: options.store,
-      clock,
-      metrics,
-      callsPerSecond: platform.store_calls_per_second,
-    });
-    const membership = new Membership({
-      ...common,
-      self: {
-        id: settings.node.id,
-        address: options.address,
-        region: settings.node.region,
-        availabilityZone: settings.node.availability_zone,
-      },
-      heartbeatIntervalMs: settings.membership.heartbeat_interval,
-      heartbeatTimeoutMs: settings.membership.heartbeat_timeout,
-      suspectTimeoutMs: settings.membership.suspect_timeout,
-    });
-    const directory = new EndpointDirectory();
-    const owners = new OwnerMap({ membership });
-    this.#poller = new VmListPoller({
-      clock,
-      rng,
-      logger,
-      vmList: options.vmList,
-      membership,
-      directory,
-      intervalMs: platform.vm_list_interval,
-    });
-    const keeper = new ConfigKeeper({
-      store: this.#store,
-      clock,
-      metrics,
-      logger,
-    });
-    const config = (): ConfigSnapshot => keeper.snapshot;
-    const store = this.#store;
-    const spread = new ConfigSpread({ ...common, keeper, store, membership });
-    const crashes = new CrashTracker({ clock, metrics, membership });
-    const shared = { ...common, membership, owners, directory, config };
-    const endpointOwner = new EndpointOwner({ ...shared, client, crashes });
-    const admissions = new AdmissionClient({
-      ...shared,
-      local: endpointOwner,
-      timeoutMs: routing.admission_timeout,
-      onVersion: (address, version) => spread.heard(address, version),
-    });
-    const chats = new ChatDirectory({
-      ...shared,
-      crashes,
-      maxEntries: routing.directory_entries,
-    });
-    const budgetOwner = new BudgetOwner({
-      ...shared,
-      terms: (member) => config().member(member),
-    });
-    const budget = new BudgetClient({ ...shared, local: budgetOwner });
-    const placement: Placement = makePlacement(routing.policy, {
-      ...shared,
-      chats,
-      admissions,
-      client,
-    });
-    const retries = new RetryBudget({ ratio: routing.retry_budget });
-    const places = new PlaceFinder({
-      ...shared,
-      placement,
-      budget,
-      queue: new MemberQueue({
-        clock,
-        maxPerMember: limits.max_queue_per_member,
-      }),
-      queueTimeoutMs: limits.queue_timeout,
-    });
-    this.claims = new ClaimKeeper({ ...shared, store });
-    this.chatService = new ChatService({ ...shared, client, places, retries });
-    this.plainService = new PlainService({
-      ...shared,
-      client,
-      placement,
-      retries,
-      claims: this.claims,
-      maxBodyBytes: limits.max_body,
-      queueTimeoutMs: limits.queue_timeout,
-    });
-    this.orders = new OrderGiver({
-      ...shared,
-      store,
-      client,
-      nodeId: settings.node.id,
-      targets: () =>
-        endpointOwner.owned().flatMap(({ info, monitor }) =>
-          monitor.report === undefined ? [] : [{ info, report: monitor.report }]
-        ),
-    });
-    this.#cacheMover = new CacheMover({ ...shared, client, chats });
-    this.membership = membership;
-    this.directory = directory;
-    this.owners = owners;
-    this.keeper = keeper;
-    this.spread = spread;
-    this.endpointOwner = endpointOwner;
-    this.admissions = admissions;
-    this.chats = chats;
-    this.budgetOwner = budgetOwner;
-    this.budget = budget;
+    const view = makeViewPart(options);
+    const config = makeConfigPart(options, view);
+    const work = makeWorkPart(options, { ...view, ...config });
+    const services = makeServices(options, { ...view, ...config, ...work });
+    this.membership = view.membership;
+    this.directory = view.directory;
+    this.owners = view.owners;
+    this.#poller = view.poller;
+    this.#store = config.store;
+    this.keeper = config.keeper;
+    this.spread = config.spread;
+    this.endpointOwner = work.endpointOwner;
+    this.admissions = work.admissions;
+    this.chats = work.chats;
+    this.budgetOwner = work.budgetOwner;
+    this.budget = work.budget;
+    this.claims = services.claims;
+    this.chatService = services.chatService;
+    this.plainService = services.plainService;
+    this.orders = services.orders;
+    this.#cacheMover = services.cacheMover;
   }
 
   /** Whether the balancer should send callers here. */
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,5 +1,6 @@
 /** Assembles one node. */
-export { FleetNode, type FleetNodeOptions } from "./fleet_node.ts";
+export { FleetNode } from "./fleet_node.ts";
+export type { FleetNodeOptions } from "./fleet_parts.ts";
 export { type ChatRequest, parseChatRequest } from "./chat_request.ts";
 export { RetryBudget } from "./retry_budget.ts";
 export { RunningNode } from "./running_node.ts";
