--- a/packages/admission/src/admission_client.ts
+++ b/packages/admission/src/admission_client.ts
@@ -82,11 +82,6 @@
     };
   }
 
-  /** Number of admissions open here. */
-  get openCount(): number {
-    return this.#open.size;
-  }
-
   /** Starts renewing. */
   start(): void {
     const { clock, logger, membership } = this.#options;
--- a/packages/claims/src/claim_keeper.ts
+++ b/packages/claims/src/claim_keeper.ts
@@ -110,11 +110,6 @@
     await this.#outcomes.close();
   }
 
-  /** Number of answers not recorded yet. */
-  get recordingCount(): number {
-    return this.#outcomes.pending;
-  }
-
   async #claim(
     key: string,
     call: ClaimedCall,
--- a/packages/claims/src/outcome_recorder.ts
+++ b/packages/claims/src/outcome_recorder.ts
@@ -35,11 +35,6 @@
     this.#options = options;
   }
 
-  /** Number of outcomes not recorded yet. */
-  get pending(): number {
-    return this.#recording.size;
-  }
-
   /** Waits until outcomes are written or the last attempt failed. */
   async close(): Promise<void> {
     this.#stop.abort();
--- a/packages/cli/src/demo_command.ts
+++ b/packages/cli/src/demo_command.ts
@@ -2,15 +2,15 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { htmlReport, runLoad } from "@limpetshed/load";
-import { RunningNode } from "@limpetshed/node";
-import { readSettings } from "@limpetshed/settings";
+import type { RunningNode } from "@limpetshed/node";
 import type { Command } from "./command.ts";
 import { CommandError } from "./command_error.ts";
 import { Deployment, memberKeys } from "./deployment.ts";
-import { nodeAddresses, writeNodeFiles } from "./node_files.ts";
+import { nodeAddresses } from "./node_files.ts";
 import { durationMs, number, text } from "./options.ts";
 import { print, printJson } from "./output.ts";
 import { readLayout } from "./stand_in_command.ts";
+import { startNodes } from "./start_nodes.ts";
 
 const OPERATOR_KEY = "demo-operator";
 
@@ -38,25 +38,20 @@
     const loadMs = durationMs(parsed, "duration", "10s");
     const directory = mkdtempSync(join(tmpdir(), "limpetshed-demo-"));
     const deployment = new Deployment({ layout, seed });
-    const running: RunningNode[] = [];
+    let running: RunningNode[] = [];
     try {
       await deployment.start();
       const nodes = nodeAddresses(nodeCount, {
         portBase,
         zones: deployment.layout.availabilityZones,
       });
-      nodes.forEach(({ id, peers, availabilityZone }) =>
-        deployment.addNode({ id, address: peers, availabilityZone })
-      );
-      const paths = writeNodeFiles(directory, {
+      running = await startNodes({
         deployment,
+        directory,
         nodes,
         peerKey: "demo-peer",
         operatorKey: OPERATOR_KEY,
       });
-      for (const path of paths) {
-        running.push(await RunningNode.start(readSettings(path)));
-      }
       const members = memberKeys(10, seed);
       await submitFirstConfig(
         running[0]!,
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -7,3 +7,4 @@
 } from "./deployment.ts";
 export { nodeAddresses, writeNodeFiles } from "./node_files.ts";
 export { COMMANDS, runCommand } from "./run_command.ts";
+export { startNodes, type StartNodesOptions } from "./start_nodes.ts";
--- a/packages/cli/tests/support/test_deployment.ts
+++ b/packages/cli/tests/support/test_deployment.ts
@@ -2,11 +2,12 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { performance } from "node:perf_hooks";
-import { RunningNode } from "@limpetshed/node";
-import { readSettings, type Settings } from "@limpetshed/settings";
+import type { RunningNode } from "@limpetshed/node";
+import type { Settings } from "@limpetshed/settings";
 import { request } from "undici";
 import { Deployment, memberKeys } from "../../src/deployment.ts";
-import { type NodeAddresses, writeNodeFiles } from "../../src/node_files.ts";
+import type { NodeAddresses } from "../../src/node_files.ts";
+import { startNodes } from "../../src/start_nodes.ts";
 import { freePorts } from "./free_ports.ts";
 
 const SEED = 7;
@@ -16,7 +17,7 @@
   readonly deployment = new Deployment({ layout: "brodeline", seed: SEED });
   readonly members = memberKeys(3, SEED);
   readonly operatorKey = "test-operator";
-  readonly running: RunningNode[] = [];
+  running: RunningNode[] = [];
   readonly directory = mkdtempSync(join(tmpdir(), "limpetshed-test-"));
   nodes: NodeAddresses[] = [];
 
@@ -37,22 +38,18 @@
       operators: `127.0.0.1:${ports[3 * index + 1]}`,
       peers: `127.0.0.1:${ports[3 * index + 2]}`,
     }));
-    for (const { id, peers, availabilityZone } of this.nodes) {
-      this.deployment.addNode({ id, address: peers, availabilityZone });
-    }
-    const paths = writeNodeFiles(this.directory, {
+    this.running = await startNodes({
       deployment: this.deployment,
+      directory: this.directory,
       nodes: this.nodes,
       peerKey: "test-peer",
       operatorKey: this.operatorKey,
+      change: (settings) => {
+        settings.log.level = "silent";
+        settings.limits.drain_notice = 100;
+        change(settings);
+      },
     });
-    for (const path of paths) {
-      const settings = readSettings(path);
-      settings.log.level = "silent";
-      settings.limits.drain_notice = 100;
-      change(settings);
-      this.running.push(await RunningNode.start(settings));
-    }
     const { status, text } = await this.patch(
       0,
       this.deployment.firstConfig({ members: this.members, budget: 100_000 }),
--- a/packages/errors/src/error_kinds.ts
+++ b/packages/errors/src/error_kinds.ts
@@ -24,7 +24,6 @@
   | "invalid_request"
   | "no_endpoint"
   | "node_not_ready"
-  | "node_stopping"
   | "not_found"
   | "outcome_unknown"
   | "peer_unreachable"
@@ -75,7 +74,6 @@
   invalid_request: { status: 400, run: "not-run", retryHelps: false },
   no_endpoint: { status: 503, run: "not-run", retryHelps: true },
   node_not_ready: { status: 503, run: "not-run", retryHelps: true },
-  node_stopping: { status: 503, run: "not-run", retryHelps: true },
   not_found: { status: 404, run: "not-run", retryHelps: false },
   outcome_unknown: { status: 409, run: "may-have-run", retryHelps: false },
   peer_unreachable: { status: 503, run: "not-run", retryHelps: true },
--- a/packages/node/src/callers_app.ts
+++ b/packages/node/src/callers_app.ts
@@ -18,6 +18,7 @@
 import { parseChatRequest } from "./chat_request.ts";
 import { DEADLINE_REASON } from "./chat_service.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { addHealthRoutes } from "./health_routes.ts";
 import { readAll } from "./plain_service.ts";
 import type { RequestGate } from "./request_gate.ts";
 
@@ -62,19 +63,11 @@
 export function callersApp(
   options: CallersAppOptions,
 ): (req: IncomingMessage, res: ServerResponse) => void {
-  const { node } = options;
   const app = createApp();
   const router = createRouter();
   const on = (answer: Answer) =>
     eventHandler(async (event) => await answerRequest(options, event, answer));
-  router.get("/healthz", eventHandler(() => "ok\n"));
-  router.get(
-    "/readyz",
-    eventHandler((event) => {
-      event.node.res.statusCode = node.ready ? 200 : 503;
-      return node.ready ? "ready\n" : "not ready\n";
-    }),
-  );
+  addHealthRoutes(router, options);
   router.post("/v1/chat/completions", on((ex) => answerChat(options, ex)));
   router.get("/v1/models", on((ex) => answerModels(options, ex)));
   router.use("/v1/services/**", on((ex) => answerPlain(options, ex)));
--- a/packages/node/src/chat_service.ts
+++ b/packages/node/src/chat_service.ts
@@ -18,6 +18,7 @@
 } from "@limpetshed/placement";
 import type { ChatRequest } from "./chat_request.ts";
 import type { FoundPlace, PlaceFinder } from "./place_finder.ts";
+import { outcomeOf } from "./place_outcome.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** Options of {@linkcode ChatService}. */
@@ -79,7 +80,7 @@
         outcome = "completed";
         return;
       } catch (err) {
-        outcome = outcomeOf(err, req.signal);
+        outcome = req.signal.aborted ? "cancelled" : outcomeOf(err);
         if (delivered > 0 || !this.#mayRetry(run, err)) {
           throw this.#asAnswer(err, req.signal);
         }
@@ -106,7 +107,7 @@
         usage = readUsage(answer.body);
         return answer;
       } catch (err) {
-        outcome = outcomeOf(err, req.signal);
+        outcome = req.signal.aborted ? "cancelled" : outcomeOf(err);
         if (!this.#mayRetry(run, err)) {
           throw this.#asAnswer(err, req.signal);
         }
@@ -222,19 +223,6 @@
   }
 }
 
-function outcomeOf(err: unknown, signal: AbortSignal): PlaceOutcome {
-  if (signal.aborted) {
-    return "cancelled";
-  }
-  if (!(err instanceof EndpointError)) {
-    return "failed";
-  }
-  if (err.kind === "endpoint_unreachable") {
-    return "not_sent";
-  }
-  return err.connectionLost ? "connection_lost" : "failed";
-}
-
 /** Reason with which a request's signal is aborted at its deadline. */
 export const DEADLINE_REASON = "deadline";
 
--- /dev/null
+++ b/packages/node/src/health_routes.ts
@@ -0,0 +1,17 @@
+import { eventHandler, type Router } from "h3";
+import type { FleetNode } from "./fleet_node.ts";
+
+/** Adds what the platform's balancer asks: `/healthz` and `/readyz`. */
+export function addHealthRoutes(
+  router: Router,
+  { node }: { node: FleetNode },
+): void {
+  router.get("/healthz", eventHandler(() => "ok\n"));
+  router.get(
+    "/readyz",
+    eventHandler((event) => {
+      event.node.res.statusCode = node.ready ? 200 : 503;
+      return node.ready ? "ready\n" : "not ready\n";
+    }),
+  );
+}
--- a/packages/node/src/operators_app.ts
+++ b/packages/node/src/operators_app.ts
@@ -15,6 +15,7 @@
 import { writeError, writeJson } from "./answer_writer.ts";
 import type { OperatorKeys } from "./authenticator.ts";
 import type { FleetNode } from "./fleet_node.ts";
+import { addHealthRoutes } from "./health_routes.ts";
 import { readAll } from "./plain_service.ts";
 import type { RequestGate } from "./request_gate.ts";
 
@@ -48,19 +49,11 @@
 export function operatorsApp(
   options: OperatorsAppOptions,
 ): (req: IncomingMessage, res: ServerResponse) => void {
-  const { node } = options;
   const app = createApp();
   const router = createRouter();
   const on = (answer: Answer) =>
     eventHandler(async (event) => await answerOperator(options, event, answer));
-  router.get("/healthz", eventHandler(() => "ok\n"));
-  router.get(
-    "/readyz",
-    eventHandler((event) => {
-      event.node.res.statusCode = node.ready ? 200 : 503;
-      return node.ready ? "ready\n" : "not ready\n";
-    }),
-  );
+  addHealthRoutes(router, options);
   router.get("/v1/config", on((event) => answerConfig(options, event)));
   router.patch(
     "/v1/config",
--- a/packages/node/src/plain_service.ts
+++ b/packages/node/src/plain_service.ts
@@ -11,7 +11,8 @@
 import { RouterError, toRouterError } from "@limpetshed/errors";
 import { hash64, sha256Hex } from "@limpetshed/hashing";
 import type { Metrics } from "@limpetshed/observe";
-import type { Place, Placement, PlaceOutcome } from "@limpetshed/placement";
+import type { Place, Placement } from "@limpetshed/placement";
+import { outcomeOf } from "./place_outcome.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 /** Options of {@linkcode PlainService}. */
@@ -214,16 +215,6 @@
   return method === "GET" || method === "HEAD" || method === "OPTIONS";
 }
 
-function outcomeOf(err: unknown): PlaceOutcome {
-  if (!(err instanceof EndpointError)) {
-    return "failed";
-  }
-  if (err.kind === "endpoint_unreachable") {
-    return "not_sent";
-  }
-  return err.connectionLost ? "connection_lost" : "failed";
-}
-
 function finishWithBody(place: Place, body: Readable): void {
   body.once("end", () => place.finish("completed"));
   body.once("error", () => place.finish("failed"));
--- a/packages/observe/src/metric_table.ts
+++ b/packages/observe/src/metric_table.ts
@@ -4,7 +4,6 @@
 export type RetryReason =
   | "admission_at_limit"
   | "connect_failed"
-  | "connection_lost_unsent"
   | "endpoint_refused"
   | "first_byte_missing"
   | "not_owner"
@@ -17,7 +16,6 @@
 export const RETRY_REASONS: readonly RetryReason[] = [
   "admission_at_limit",
   "connect_failed",
-  "connection_lost_unsent",
   "endpoint_refused",
   "first_byte_missing",
   "not_owner",
@@ -71,7 +69,6 @@
   | "peer.frames_sent"
   | "quarantine.added"
   | "request.duration"
-  | "request.first_byte"
   | "request.total"
   | "share.spare_admitted"
   | "share.spent"
@@ -120,7 +117,6 @@
   "peer.frames_sent": row("counter", "frames", "Frames to peers."),
   "quarantine.added": row("counter", "requests", "Requests quarantined."),
   "request.duration": row("timing", "ms", "Whole time of a request."),
-  "request.first_byte": row("timing", "ms", "Time to the answer's start."),
   "request.total": row("counter", "requests", "Requests received."),
   "share.spare_admitted": row(
     "counter",
--- a/packages/stand_ins/src/kv_engine.ts
+++ b/packages/stand_ins/src/kv_engine.ts
@@ -32,15 +32,6 @@
     return this.#revision;
   }
 
-  /** Number of open watches. */
-  get watchCount(): number {
-    let count = 0;
-    for (const set of this.#watchers.values()) {
-      count += set.size;
-    }
-    return count;
-  }
-
   /** Reads one key. */
   get(key: string): StoreEntry | undefined {
     return this.#entries.get(key);
--- a/scripts/measure_latency.js
+++ b/scripts/measure_latency.js
@@ -10,26 +10,21 @@
   Deployment,
   memberKeys,
   nodeAddresses,
-  writeNodeFiles,
+  startNodes,
 } from "../packages/cli/dist/src/index.js";
-import { RunningNode } from "../packages/node/dist/src/index.js";
-import { readSettings } from "../packages/settings/dist/src/index.js";
 
 const [requests = 300] = process.argv.slice(2).map(Number);
 const directory = mkdtempSync(join(tmpdir(), "limpetshed-latency-"));
 const deployment = new Deployment({ layout: "brodeline", seed: 1 });
 await deployment.start();
 const nodes = nodeAddresses(1, { portBase: 24_500, zones: ["sfax-1"] });
-nodes.forEach(({ id, peers, availabilityZone }) =>
-  deployment.addNode({ id, address: peers, availabilityZone })
-);
-const [path] = writeNodeFiles(directory, {
+const [running] = await startNodes({
   deployment,
+  directory,
   nodes,
   peerKey: "p",
   operatorKey: "o",
 });
-const running = await RunningNode.start(readSettings(path));
 const members = memberKeys(1, 1);
 await running.node.keeper.patch({
   againstVersion: 0,
@@ -37,9 +32,7 @@
   author: "measure",
   patch: deployment.firstConfig({ members, budget: 1e9 }),
 });
-const [direct] = deployment.vmList
-  ? [running.node.directory.live("monogram")[0].address]
-  : [];
+const direct = running.node.directory.live("monogram")[0].address;
 
 let count = 0;
 async function send(address, stream) {
--- a/scripts/measure_patches.js
+++ b/scripts/measure_patches.js
@@ -9,10 +9,8 @@
 import {
   Deployment,
   nodeAddresses,
-  writeNodeFiles,
+  startNodes,
 } from "../packages/cli/dist/src/index.js";
-import { RunningNode } from "../packages/node/dist/src/index.js";
-import { readSettings } from "../packages/settings/dist/src/index.js";
 
 const NODES = 5;
 const [patches = 20] = process.argv.slice(2).map(Number);
@@ -23,21 +21,16 @@
   portBase: 24_700,
   zones: deployment.layout.availabilityZones,
 });
-nodes.forEach(({ id, peers, availabilityZone }) =>
-  deployment.addNode({ id, address: peers, availabilityZone })
-);
-const paths = writeNodeFiles(directory, {
+const running = await startNodes({
   deployment,
+  directory,
   nodes,
   peerKey: "p",
   operatorKey: "o",
+  change: (settings) => {
+    settings.platform.store_calls_per_second = 100;
+  },
 });
-const running = [];
-for (const path of paths) {
-  const settings = readSettings(path);
-  settings.platform.store_calls_per_second = 100;
-  running.push(await RunningNode.start(settings));
-}
 let version = 0;
 
 async function patch(data) {
