feat(platform): relay the users' platform through the product

Cause: nothing served the platform's callers. One pipeline (routing, dispatch, relay, mirror) with names and formats in platform/.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,9 +1,17 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "**/generated/**", "build/**", "reports/**"] },
   {
-    files: ["packages/*/src/**/*.ts", "packages/*/tests/**/*.ts"],
+    ignores: [
+      "**/dist/**",
+      "**/generated/**",
+      "build/**",
+      "reports/**",
+      "target/**",
+    ],
+  },
+  {
+    files: ["{packages/*,platform}/{src,tests}/**/*.ts"],
     extends: [tseslint.configs.recommendedTypeChecked],
     languageOptions: {
       parserOptions: {
@@ -25,7 +33,7 @@
     },
   },
   {
-    files: ["packages/*/tests/**/*.ts"],
+    files: ["{packages/*,platform}/tests/**/*.ts"],
     rules: { "@typescript-eslint/no-unused-expressions": "off" },
   },
 );
--- /dev/null
+++ b/packages/dispatch/src/baseline_policies.ts
@@ -0,0 +1,59 @@
+import { rendezvousRank } from "@limpetshed/hashing";
+import type { Endpoint } from "./endpoint_registry.ts";
+import { EndpointPolicy, type PolicyRequest } from "./endpoint_policy.ts";
+
+/** Baseline: the fewest requests in flight, blind to prompts. */
+export class LeastLoadedPolicy extends EndpointPolicy {
+  choose({ candidates }: PolicyRequest): Endpoint {
+    return this.leastLoaded(candidates);
+  }
+}
+
+/** Multiple of the mean that {@linkcode AffinityPolicy} fills an endpoint to. */
+const AFFINITY_MULTIPLE = 1.3;
+
+/** Baseline: rendezvous hashing with bounded loads on the first prompt part. */
+export class AffinityPolicy extends EndpointPolicy {
+  choose({ prompt, usable, candidates }: PolicyRequest): Endpoint {
+    const first = prompt?.parts[0];
+    if (first === undefined) {
+      return this.leastLoaded(candidates);
+    }
+    const bound = Math.ceil(AFFINITY_MULTIPLE * this.meanLoad(usable)) + 1;
+    return rankEndpoints(first.id, candidates)
+      .find(({ key }) => this.board.total(key) < bound) ??
+      this.leastLoaded(candidates);
+  }
+}
+
+/** Multiple of the mean that {@linkcode LastSharedPolicy} fills to. */
+const LAST_SHARED_MULTIPLE = 1.5;
+/** Requests above that multiple. */
+const LAST_SHARED_SLACK = 1.5;
+/** Part of the slots that may be taken before a request goes elsewhere. */
+const LAST_SHARED_SLOTS = 0.875;
+
+/** Baseline: rendezvous hashing on the last part that requests share. */
+export class LastSharedPolicy extends EndpointPolicy {
+  choose({ prompt, usable, candidates }: PolicyRequest): Endpoint {
+    const shared = prompt?.parts.at(-2) ?? prompt?.parts.at(-1);
+    if (shared === undefined) {
+      return this.leastLoaded(candidates);
+    }
+    const bound = LAST_SHARED_MULTIPLE * this.meanLoad(usable) +
+      LAST_SHARED_SLACK;
+    return rankEndpoints(shared.id, candidates).find(({ key, entry }) => {
+      const load = this.board.total(key);
+      return load <= bound && load < LAST_SHARED_SLOTS * entry.slots;
+    }) ?? this.leastLoaded(candidates);
+  }
+}
+
+/** Ranks endpoints for a hash key, best first. */
+export function rankEndpoints(
+  key: string,
+  endpoints: readonly Endpoint[],
+): Endpoint[] {
+  const byKey = new Map(endpoints.map((endpoint) => [endpoint.key, endpoint]));
+  return rendezvousRank(key, [...byKey.keys()]).map((id) => byKey.get(id)!);
+}
--- /dev/null
+++ b/packages/dispatch/src/departures.ts
@@ -0,0 +1,60 @@
+import type { Clock, Timer } from "@limpetshed/base";
+import type { EndpointRegistry } from "./endpoint_registry.ts";
+
+/** How long endpoints whose entries lapsed while the store was away may take
+ * to enter themselves again. */
+const REJOIN_MS = 2_000;
+
+/**
+ * Answers entries that lapse while the store is away although their endpoints
+ * live: a deletion seen right after an outage takes effect only when the
+ * endpoint had time to come back.
+ */
+export class Departures {
+  readonly #clock: Clock;
+  readonly #registry: EndpointRegistry;
+  readonly #lastOutageEndMs: () => number;
+  readonly #pending = new Map<string, Timer>();
+
+  constructor({ clock, registry, lastOutageEndMs }: {
+    clock: Clock;
+    registry: EndpointRegistry;
+    /** Monotonic time at which the store last came back. */
+    lastOutageEndMs: () => number;
+  }) {
+    this.#clock = clock;
+    this.#registry = registry;
+    this.#lastOutageEndMs = lastOutageEndMs;
+  }
+
+  /** The entry of endpoint `id` is gone. */
+  left(id: string): void {
+    const waitMs = this.#lastOutageEndMs() + REJOIN_MS -
+      this.#clock.monotonicMs();
+    if (!(waitMs > 0)) {
+      this.#registry.drop(id);
+      return;
+    }
+    if (!this.#pending.has(id)) {
+      const timer = this.#clock.setTimer(waitMs, () => {
+        this.#pending.delete(id);
+        this.#registry.drop(id);
+      });
+      this.#pending.set(id, timer);
+    }
+  }
+
+  /** The entry of endpoint `id` is there. */
+  present(id: string): void {
+    this.#pending.get(id)?.cancel();
+    this.#pending.delete(id);
+  }
+
+  /** Stops the timers. */
+  close(): void {
+    for (const timer of this.#pending.values()) {
+      timer.cancel();
+    }
+    this.#pending.clear();
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -0,0 +1,105 @@
+import type { Clock } from "@limpetshed/base";
+import type { ServiceSpec } from "@limpetshed/routing";
+import type { ColdStartGate } from "./cold_start_gate.ts";
+import type { EndpointPolicy } from "./endpoint_policy.ts";
+import type { Endpoint, EndpointRegistry } from "./endpoint_registry.ts";
+import type { PromptFacts } from "./prompt_facts.ts";
+import type { SuspicionList } from "./suspicion_list.ts";
+
+/** Why no endpoint can be tried now. */
+export type NoChoice =
+  /** The service has no endpoint in service. */
+  | "none_in_service"
+  /** Every endpoint has been tried. */
+  | "all_tried"
+  /** Cold endpoints have their fill for this second. */
+  | "cold_limit"
+  /** This node may open no more connections to them. */
+  | "connection_limit";
+
+/** The endpoint to try, or why there is none. */
+export type Choice =
+  | { endpoint: Endpoint; candidates: number }
+  | { refusal: NoChoice };
+
+/** What is to be placed. */
+export interface ChoiceRequest {
+  spec: ServiceSpec;
+  prompt: PromptFacts | undefined;
+  /** Keys of endpoints that have had the request. */
+  tried: ReadonlySet<string>;
+}
+
+/** Options of {@linkcode EndpointChooser}. */
+export interface EndpointChooserOptions {
+  clock: Clock;
+  registry: EndpointRegistry;
+  policy: EndpointPolicy;
+  coldGate: ColdStartGate;
+  suspicion: SuspicionList;
+  /** Whether a further connection to the address may be needed and is not
+   * allowed. */
+  isConnectionLimitReached: (address: string, spec: ServiceSpec) => boolean;
+}
+
+/** Chooses among the endpoints that may be tried now. */
+export class EndpointChooser {
+  readonly #options: EndpointChooserOptions;
+
+  constructor(options: EndpointChooserOptions) {
+    this.#options = options;
+  }
+
+  /** Chooses the endpoint of a request and counts it where it is cold. */
+  choose({ spec, prompt, tried }: ChoiceRequest): Choice {
+    const { registry, policy, coldGate } = this.#options;
+    const usable = registry.usable(spec.name);
+    if (usable.length === 0) {
+      return { refusal: "none_in_service" };
+    }
+    const untried = usable.filter(({ key }) => !tried.has(key));
+    if (untried.length === 0) {
+      return { refusal: "all_tried" };
+    }
+    const bearing = untried.filter((endpoint) => this.#bears(endpoint, spec));
+    if (bearing.length === 0) {
+      return { refusal: "cold_limit" };
+    }
+    const candidates = this.#preferTrusted(this.#connectable(bearing, spec));
+    if (candidates.length === 0) {
+      return { refusal: "connection_limit" };
+    }
+    const req = { service: spec.name, prompt, usable, candidates };
+    const endpoint = policy.choose(req);
+    policy.noteStarted(req, endpoint);
+    if (this.#isCold(endpoint)) {
+      coldGate.count(endpoint.key);
+    }
+    return { endpoint, candidates: candidates.length };
+  }
+
+  #bears(endpoint: Endpoint, spec: ServiceSpec): boolean {
+    return !this.#isCold(endpoint) ||
+      this.#options.coldGate.allows(endpoint.key, spec.coldRequestsPerS);
+  }
+
+  #isCold({ coldUntilMs }: Endpoint): boolean {
+    return coldUntilMs > this.#options.clock.monotonicMs();
+  }
+
+  #connectable(endpoints: Endpoint[], spec: ServiceSpec): Endpoint[] {
+    const { isConnectionLimitReached } = this.#options;
+    return endpoints.filter(({ entry }) =>
+      !isConnectionLimitReached(entry.address, spec)
+    );
+  }
+
+  /** Leaves out suspects, unless all are. */
+  #preferTrusted(endpoints: Endpoint[]): Endpoint[] {
+    const keys = endpoints.map(({ key }) => key);
+    const trusted = endpoints.filter(({ key }) =>
+      !this.#options.suspicion.isSuspect(key, keys)
+    );
+    return trusted.length > 0 ? trusted : endpoints;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -0,0 +1,127 @@
+import type { Clock } from "@limpetshed/base";
+import type { EndpointEntry } from "./endpoint_entry.ts";
+
+/** One start of an endpoint, as known here. */
+export interface Endpoint {
+  /** Differs between starts of an endpoint with the same id. */
+  readonly key: string;
+  readonly entry: EndpointEntry;
+  /** Monotonic time until which the endpoint counts as cold. */
+  coldUntilMs: number;
+  /** Monotonic time at which it became known. */
+  readonly sinceMs: number;
+}
+
+/** Why an endpoint was dropped. */
+export type DropReason = "gone" | "reborn";
+
+/** Options of {@linkcode EndpointRegistry}. */
+export interface EndpointRegistryOptions {
+  clock: Clock;
+  /** Called when an endpoint is dropped. */
+  onDrop?: (endpoint: Endpoint, reason: DropReason) => void;
+}
+
+/** The endpoints that nodes may send to, by service. */
+export class EndpointRegistry {
+  readonly #options: EndpointRegistryOptions;
+  readonly #byId = new Map<string, Endpoint>();
+  readonly #zonesOut = new Set<string>();
+  readonly #usable = new Map<string, readonly Endpoint[]>();
+  #version = 0;
+
+  constructor(options: EndpointRegistryOptions) {
+    this.#options = options;
+  }
+
+  /** Grows with every change. */
+  get version(): number {
+    return this.#version;
+  }
+
+  /** Takes over what an endpoint says; a new start replaces the one before. */
+  put(entry: EndpointEntry): Endpoint {
+    const now = this.#options.clock.monotonicMs();
+    const known = this.#byId.get(entry.id);
+    const key = `${entry.id}/${entry.bornMs}`;
+    const coldUntilMs = entry.coldMs > 0 ? now + entry.coldMs : 0;
+    if (known !== undefined && known.key !== key) {
+      this.#options.onDrop?.(known, "reborn");
+    }
+    const isSame = known?.key === key;
+    const endpoint: Endpoint = {
+      key,
+      entry,
+      coldUntilMs: Math.max(coldUntilMs, isSame ? known.coldUntilMs : 0),
+      sinceMs: isSame ? known.sinceMs : now,
+    };
+    this.#byId.set(entry.id, endpoint);
+    this.#changed();
+    return endpoint;
+  }
+
+  /** Drops an endpoint; returns whether it was known. */
+  drop(id: string): boolean {
+    const known = this.#byId.get(id);
+    if (known === undefined) {
+      return false;
+    }
+    this.#byId.delete(id);
+    this.#options.onDrop?.(known, "gone");
+    this.#changed();
+    return true;
+  }
+
+  /** Takes an availability zone out, or back in. */
+  setZoneOut(zone: string, isOut: boolean): void {
+    if (isOut) {
+      this.#zonesOut.add(zone);
+    } else {
+      this.#zonesOut.delete(zone);
+    }
+    this.#changed();
+  }
+
+  /** Whether operators have taken the zone out. */
+  isZoneOut(zone: string): boolean {
+    return this.#zonesOut.has(zone);
+  }
+
+  /** The endpoint of that id. */
+  get(id: string): Endpoint | undefined {
+    return this.#byId.get(id);
+  }
+
+  /** All endpoints. */
+  all(): Iterable<Endpoint> {
+    return this.#byId.values();
+  }
+
+  /** Endpoints of a service that may get new work, sorted by key. */
+  usable(service: string): readonly Endpoint[] {
+    const known = this.#usable.get(service);
+    if (known !== undefined) {
+      return known;
+    }
+    const found = [...this.#byId.values()]
+      .filter(({ entry }) =>
+        entry.service === service && entry.state === "ready" &&
+        !this.#zonesOut.has(entry.availabilityZone)
+      )
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    this.#usable.set(service, found);
+    return found;
+  }
+
+  /** Whether `endpoint` may get new work now. */
+  isUsable(endpoint: Endpoint): boolean {
+    const known = this.#byId.get(endpoint.entry.id);
+    return known?.key === endpoint.key && known.entry.state === "ready" &&
+      !this.#zonesOut.has(known.entry.availabilityZone);
+  }
+
+  #changed(): void {
+    this.#version += 1;
+    this.#usable.clear();
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,36 @@
+/** Decisions on where a request goes and whether it is sent again. */
+export {
+  type AttemptCounts,
+  countsAsArrival,
+  isRepeatable,
+  mayTryAgain,
+  type SendOutcome,
+} from "./attempt_policy.ts";
+export {
+  AffinityPolicy,
+  LastSharedPolicy,
+  LeastLoadedPolicy,
+  rankEndpoints,
+} from "./baseline_policies.ts";
+export { type ColdLimits, ColdStartGate } from "./cold_start_gate.ts";
+export {
+  type Choice,
+  type ChoiceRequest,
+  EndpointChooser,
+  type EndpointChooserOptions,
+  type NoChoice,
+} from "./endpoint_chooser.ts";
+export { Departures } from "./departures.ts";
+export type { EndpointEntry } from "./endpoint_entry.ts";
+export { EndpointPolicy, type PolicyRequest } from "./endpoint_policy.ts";
+export {
+  type DropReason,
+  type Endpoint,
+  EndpointRegistry,
+  type EndpointRegistryOptions,
+} from "./endpoint_registry.ts";
+export { LoadBoard } from "./load_board.ts";
+export type { PromptFacts, PromptPart } from "./prompt_facts.ts";
+export { RetryAllowance, type RetryLimits } from "./retry_allowance.ts";
+export { SlidingCount } from "./sliding_count.ts";
+export { SuspicionList } from "./suspicion_list.ts";
--- /dev/null
+++ b/packages/dispatch/src/load_board.ts
@@ -0,0 +1,125 @@
+import type { Clock } from "@limpetshed/base";
+
+/** How long a figure of other nodes' requests is believed, milliseconds: some
+ * exchanges between nodes, or the time of a short chat. */
+const OTHERS_MAX_AGE_MS = 1_500;
+
+interface Load {
+  own: number;
+  /** Requests of other nodes, from the endpoint's own figure. */
+  reportedOthers: number;
+  reportedAtMs: number;
+}
+
+/**
+ * Requests in flight at each endpoint. Own requests are exact; those of other
+ * nodes come from what the nodes tell each other and from the figure that
+ * endpoints put on their answers, whichever is higher.
+ */
+export class LoadBoard {
+  readonly #clock: Clock;
+  readonly #loads = new Map<string, Load>();
+  readonly #peers = new Map<
+    string,
+    { counts: Map<string, number>; atMs: number }
+  >();
+  #peerTotals = new Map<string, number>();
+
+  constructor({ clock }: { clock: Clock }) {
+    this.#clock = clock;
+  }
+
+  /** Counts a request that this node sends to `endpoint`. */
+  begin(endpoint: string): void {
+    this.#load(endpoint).own += 1;
+  }
+
+  /** Counts the end of a request. */
+  end(endpoint: string): void {
+    const load = this.#load(endpoint);
+    load.own = Math.max(0, load.own - 1);
+  }
+
+  /** Takes the number of requests that an endpoint says it has. */
+  report(endpoint: string, inFlight: number): void {
+    const load = this.#load(endpoint);
+    load.reportedOthers = Math.max(0, inFlight - load.own);
+    load.reportedAtMs = this.#clock.monotonicMs();
+  }
+
+  /** Takes the requests in flight of another node, by endpoint. */
+  setPeer(node: string, counts: Map<string, number>): void {
+    this.#peers.set(node, { counts, atMs: this.#clock.monotonicMs() });
+    this.#sumPeers();
+  }
+
+  /** Requests of this node in flight, by endpoint, without zeroes. */
+  ownCounts(): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (const [endpoint, { own }] of this.#loads) {
+      if (own > 0) {
+        counts.set(endpoint, own);
+      }
+    }
+    return counts;
+  }
+
+  /** Requests of this node in flight at `endpoint`. */
+  own(endpoint: string): number {
+    return this.#loads.get(endpoint)?.own ?? 0;
+  }
+
+  /** Requests of all nodes in flight at `endpoint`, as far as known. */
+  total(endpoint: string): number {
+    const load = this.#loads.get(endpoint);
+    const told = this.#peerTotals.get(endpoint) ?? 0;
+    if (load === undefined) {
+      return told;
+    }
+    const age = this.#clock.monotonicMs() - load.reportedAtMs;
+    const reported = age <= OTHERS_MAX_AGE_MS ? load.reportedOthers : 0;
+    return load.own + Math.max(told, reported);
+  }
+
+  /** Forgets an endpoint that is gone. */
+  forget(endpoint: string): void {
+    const load = this.#loads.get(endpoint);
+    if (load !== undefined && load.own === 0) {
+      this.#loads.delete(endpoint);
+    }
+  }
+
+  /** Drops figures of nodes that have not told any for a while. */
+  expirePeers(): void {
+    const oldest = this.#clock.monotonicMs() - OTHERS_MAX_AGE_MS;
+    for (const [node, { atMs }] of this.#peers) {
+      if (atMs < oldest) {
+        this.#peers.delete(node);
+      }
+    }
+    this.#sumPeers();
+  }
+
+  #sumPeers(): void {
+    const totals = new Map<string, number>();
+    for (const { counts } of this.#peers.values()) {
+      for (const [endpoint, count] of counts) {
+        totals.set(endpoint, (totals.get(endpoint) ?? 0) + count);
+      }
+    }
+    this.#peerTotals = totals;
+  }
+
+  #load(endpoint: string): Load {
+    let load = this.#loads.get(endpoint);
+    if (load === undefined) {
+      load = {
+        own: 0,
+        reportedOthers: 0,
+        reportedAtMs: Number.NEGATIVE_INFINITY,
+      };
+      this.#loads.set(endpoint, load);
+    }
+    return load;
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/prompt_facts.ts
@@ -0,0 +1,16 @@
+/** One part of a prompt; requests share the leading parts. */
+export interface PromptPart {
+  id: string;
+  tokens: number;
+}
+
+/** What a request for a model says of its prompt. */
+export interface PromptFacts {
+  model: string;
+  /** Tokens of the whole prompt. */
+  promptTokens: number;
+  /** Most tokens that the answer may have. */
+  maxAnswerTokens: number;
+  /** Parts in order; the last is the request's or its session's own. */
+  parts: readonly PromptPart[];
+}
--- a/packages/errors/src/error_kinds.ts
+++ b/packages/errors/src/error_kinds.ts
@@ -19,6 +19,7 @@
   | "endpoint_refused"
   | "endpoint_unreachable"
   | "forbidden"
+  | "headers_too_large"
   | "idempotency_key_reused"
   | "internal"
   | "invalid_request"
@@ -68,6 +69,7 @@
   endpoint_failed: { status: 502, run: "may-have-run", retryHelps: true },
   endpoint_refused: { status: 503, run: "not-run", retryHelps: true },
   endpoint_unreachable: { status: 503, run: "not-run", retryHelps: true },
+  headers_too_large: { status: 431, run: "not-run", retryHelps: false },
   forbidden: { status: 403, run: "not-run", retryHelps: false },
   idempotency_key_reused: { status: 422, run: "not-run", retryHelps: false },
   internal: { status: 500, run: "may-have-run", retryHelps: false },
--- a/packages/observe/src/index.ts
+++ b/packages/observe/src/index.ts
@@ -1,4 +1,5 @@
 /** Structured logs and metrics. */
+export { LogBudget, type LogBudgetOptions } from "./log_budget.ts";
 export {
   type Logger,
   type LoggerOptions,
--- /dev/null
+++ b/packages/relay/src/call_relay.ts
@@ -0,0 +1,199 @@
+import type { Clock } from "@limpetshed/base";
+import {
+  type Endpoint,
+  type EndpointChooser,
+  isRepeatable,
+  type LoadBoard,
+  mayTryAgain,
+  type NoChoice,
+  type RetryAllowance,
+  type SendOutcome,
+  type SuspicionList,
+} from "@limpetshed/dispatch";
+import { RouterError } from "@limpetshed/errors";
+import type { ServiceSpec } from "@limpetshed/routing";
+import type { AnswerSink } from "./answer_sink.ts";
+import type { ConnectionPool } from "./connection_pool.ts";
+import { EventFramer } from "./event_framer.ts";
+import type { AbortReason, RelayCall } from "./relay_call.ts";
+import type { RelayObserver } from "./relay_observer.ts";
+import { SendAttempt, type SendResult } from "./send_attempt.ts";
+import type { WireFormat } from "./wire_format.ts";
+
+/** Options of {@linkcode CallRelay}. */
+export interface CallRelayOptions {
+  clock: Clock;
+  chooser: EndpointChooser;
+  board: LoadBoard;
+  suspicion: SuspicionList;
+  allowance: RetryAllowance;
+  pool: ConnectionPool;
+  format: WireFormat;
+  observer: RelayObserver;
+  /** What the configuration in force says of a service. */
+  serviceOf: (name: string) => ServiceSpec | undefined;
+}
+
+/** After this time an endpoint that is full or away has likely changed, and
+ * it is within what callers wait between attempts. */
+const RETRY_AFTER_MS = 300;
+
+/** Takes one call through its sends to the answer. */
+export class CallRelay {
+  readonly #options: CallRelayOptions;
+
+  constructor(options: CallRelayOptions) {
+    this.#options = options;
+  }
+
+  /** Sends `call` until it is answered or given up.
+   *
+   * @throws RouterError for what the caller is to be told.
+   */
+  async run(call: RelayCall, sink: AnswerSink): Promise<void> {
+    const { allowance } = this.#options;
+    const framer = call.route.resumable ? new EventFramer() : undefined;
+    allowance.request(call.service);
+    for (;;) {
+      const result = await this.#send(call, { sink, framer });
+      if (result.outcome === "delivered") {
+        return;
+      }
+      if (call.signal.aborted) {
+        throw abortError(call);
+      }
+      if (!this.#goesOn(call, { result, sink })) {
+        throw failure(call, result);
+      }
+      framer?.dropRest();
+      this.#options.observer.repeated(call, result.outcome);
+    }
+  }
+
+  /** Whether to try another endpoint after `result`. */
+  #goesOn(
+    call: RelayCall,
+    { result, sink }: { result: SendResult; sink: AnswerSink },
+  ): boolean {
+    const { outcome } = result;
+    if (outcome === "failed") {
+      return true;
+    }
+    if (sink.isStarted && !call.route.resumable) {
+      return false;
+    }
+    return mayTryAgain(outcome, call) && this.#mayArriveAgain(call);
+  }
+
+  /** Takes a repeat from the allowance if an endpoint has had the call. */
+  #mayArriveAgain(call: RelayCall): boolean {
+    return call.arrivals === 0 ||
+      this.#options.allowance.tryRepeat(call.service);
+  }
+
+  async #send(
+    call: RelayCall,
+    { sink, framer }: { sink: AnswerSink; framer: EventFramer | undefined },
+  ): Promise<SendResult> {
+    const { chooser, serviceOf, board, pool, format, clock } = this.#options;
+    const spec = serviceOf(call.service);
+    const choice = spec === undefined
+      ? { refusal: "none_in_service" as const }
+      : chooser.choose({ spec, prompt: call.prompt, tried: call.tried });
+    if ("refusal" in choice) {
+      this.#options.observer.notPlaced(call, choice.refusal);
+      throw placeError(call, choice.refusal);
+    }
+    const { endpoint, candidates } = choice;
+    const load = board.total(endpoint.key);
+    const attempt = new SendAttempt({
+      call,
+      endpoint,
+      sink,
+      pool,
+      board,
+      format,
+      framer,
+      urgency: undefined,
+      repeatable: isRepeatable(call.route),
+      now: () => clock.monotonicMs(),
+      wantsRepeat: () => this.#wantsRepeat(call, endpoint),
+    });
+    const result = await attempt.result;
+    this.#note(call, endpoint, result);
+    this.#options.observer.sent({ call, endpoint, result, load, candidates });
+    return result;
+  }
+
+  /** Whether a failure is to be tried elsewhere instead of relayed. */
+  #wantsRepeat(call: RelayCall, { key }: Endpoint): boolean {
+    const counts = { ...call.counts, sends: call.counts.sends + 1 };
+    const { chooser: _chooser, allowance } = this.#options;
+    this.#options.suspicion.failed(key);
+    return mayTryAgain("failed", { route: call.route, counts }) &&
+      allowance.tryRepeat(call.service);
+  }
+
+  #note(call: RelayCall, endpoint: Endpoint, result: SendResult): void {
+    const { suspicion } = this.#options;
+    const { outcome } = result;
+    call.tried.add(endpoint.key);
+    if (outcome === "not_sent" || outcome === "misdirected") {
+      call.counts.unsent += 1;
+    } else {
+      call.counts.sends += 1;
+    }
+    if (outcome !== "not_sent") {
+      call.arrivals += 1;
+    }
+    call.mayHaveRun ||= mayHaveRun(outcome);
+    if (call.signal.aborted) {
+      return;
+    }
+    if (outcome === "not_sent" || outcome === "lost" || outcome === "broken") {
+      suspicion.lost(endpoint.key);
+    } else if (outcome === "delivered") {
+      suspicion.answered(endpoint.key);
+    }
+  }
+}
+
+function mayHaveRun(outcome: SendOutcome): boolean {
+  return outcome === "failed" || outcome === "lost" || outcome === "broken" ||
+    outcome === "delivered";
+}
+
+function placeError(call: RelayCall, reason: NoChoice): RouterError {
+  if (call.mayHaveRun) {
+    return new RouterError("endpoint_failed", "no endpoint is left to try");
+  }
+  const isRetried = call.arrivals > 0 || call.counts.unsent > 0;
+  return new RouterError(
+    isRetried ? "endpoint_unreachable" : "no_endpoint",
+    `no endpoint can take the request: ${reason}`,
+    { retryAfterMs: RETRY_AFTER_MS },
+  );
+}
+
+function failure(call: RelayCall, result: SendResult): RouterError {
+  if (call.mayHaveRun) {
+    return new RouterError("endpoint_failed", "the endpoint did not answer");
+  }
+  return result.outcome === "not_sent"
+    ? new RouterError("endpoint_unreachable", "no endpoint could be reached", {
+      retryAfterMs: RETRY_AFTER_MS,
+    })
+    : new RouterError("endpoint_refused", "the endpoint refused the request", {
+      retryAfterMs: RETRY_AFTER_MS,
+    });
+}
+
+function abortError(call: RelayCall): RouterError {
+  const reason = call.signal.reason as AbortReason;
+  if (reason === "caller_gone") {
+    return new RouterError("caller_cancelled", "the caller went away");
+  }
+  return call.mayHaveRun
+    ? new RouterError("deadline_exceeded", "no answer within the time limit")
+    : new RouterError("deadline_before_start", "not sent within the limit");
+}
--- /dev/null
+++ b/packages/relay/src/log_observer.ts
@@ -0,0 +1,117 @@
+import type { Clock } from "@limpetshed/base";
+import type { NoChoice, SendOutcome } from "@limpetshed/dispatch";
+import type { RouterError } from "@limpetshed/errors";
+import { LogBudget, type Logger } from "@limpetshed/observe";
+import type { RelayCall } from "./relay_call.ts";
+import { RelayObserver, type SendRecord } from "./relay_observer.ts";
+
+/** Options of {@linkcode LogObserver}. */
+export interface LogObserverOptions {
+  clock: Clock;
+  logger: Logger;
+}
+
+/** Writes a line for each decision on a call, within the log's budget. */
+export class LogObserver extends RelayObserver {
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #budget: LogBudget;
+
+  constructor({ clock, logger }: LogObserverOptions) {
+    super();
+    this.#clock = clock;
+    this.#logger = logger;
+    this.#budget = new LogBudget({ clock });
+  }
+
+  sent({ call, endpoint, result, load, candidates }: SendRecord): void {
+    this.#line(`send_${result.outcome}`, () => ({
+      requestId: call.requestId,
+      event: "send",
+      outcome: result.outcome,
+      status: result.status,
+      reason: result.reason,
+      service: call.service,
+      endpointId: endpoint.entry.id,
+      availabilityZone: endpoint.entry.availabilityZone,
+      load,
+      candidates,
+      entryAgeMs: Math.round(this.#clock.monotonicMs() - endpoint.sinceMs),
+      headMs: result.headMs === undefined
+        ? undefined
+        : Math.round(result.headMs),
+      configVersion: call.configVersion,
+    }));
+  }
+
+  repeated(call: RelayCall, outcome: SendOutcome): void {
+    this.#line("repeat", () => ({
+      requestId: call.requestId,
+      event: "repeat",
+      outcome,
+      sends: call.counts.sends,
+      unsent: call.counts.unsent,
+      maxAttempts: call.route.maxAttempts,
+      leftMs: Math.round(call.endsMs - this.#clock.monotonicMs()),
+    }));
+  }
+
+  notPlaced(call: RelayCall, reason: NoChoice): void {
+    this.#line("not_placed", () => ({
+      requestId: call.requestId,
+      event: "not_placed",
+      outcome: reason,
+      service: call.service,
+      tried: call.tried.size,
+      configVersion: call.configVersion,
+    }));
+  }
+
+  answered(call: RelayCall, durationMs: number): void {
+    this.#line("answered", () => ({
+      requestId: call.requestId,
+      event: "answered",
+      route: call.route.name,
+      durationMs: Math.round(durationMs),
+      sends: call.counts.sends,
+      configVersion: call.configVersion,
+    }));
+  }
+
+  failed(
+    err: RouterError,
+    { call, requestId, brokenOff }: {
+      call?: RelayCall;
+      requestId?: string;
+      brokenOff: boolean;
+    },
+  ): void {
+    this.#line(`failed_${err.kind}`, () => ({
+      requestId,
+      event: "failed",
+      outcome: err.kind,
+      status: brokenOff ? undefined : err.status,
+      brokenOff,
+      run: err.run,
+      reason: err.message,
+      retryAfterMs: err.retryAfterMs,
+      route: call?.route.name,
+      service: call?.service,
+      sends: call?.counts.sends,
+      unsent: call?.counts.unsent,
+      durationMs: call === undefined
+        ? undefined
+        : Math.round(this.#clock.monotonicMs() - call.arrivedMs),
+      configVersion: call?.configVersion,
+    }));
+  }
+
+  #line(event: string, fields: () => Record<string, unknown>): void {
+    const suppressed = this.#budget.take(event);
+    if (suppressed !== undefined) {
+      this.#logger.info(
+        suppressed === 0 ? fields() : { ...fields(), suppressed },
+      );
+    }
+  }
+}
--- /dev/null
+++ b/packages/relay/src/relay_call.ts
@@ -0,0 +1,39 @@
+import type { Buffer } from "node:buffer";
+import type { AttemptCounts, PromptFacts } from "@limpetshed/dispatch";
+import type { Route } from "@limpetshed/routing";
+
+/** One request of a caller on its way through this node. */
+export interface RelayCall {
+  requestId: string;
+  method: string;
+  /** Path and query as the caller sent them. */
+  path: string;
+  /** The caller's headers, names and values in turn. */
+  rawHeaders: readonly string[];
+  /** Value of the caller's `connection` header. */
+  connectionHeader: string | undefined;
+  body: Buffer | null;
+  route: Route;
+  service: string;
+  /** Version of the configuration that routed it. */
+  configVersion: number;
+  account: string | undefined;
+  priority: number;
+  prompt: PromptFacts | undefined;
+  /** Monotonic time of its arrival. */
+  arrivedMs: number;
+  /** Monotonic time by which it must be answered. */
+  endsMs: number;
+  counts: AttemptCounts;
+  /** Endpoints that it has been sent to. */
+  tried: Set<string>;
+  /** Sends that reached an endpoint. */
+  arrivals: number;
+  /** Whether an endpoint may have run it. */
+  mayHaveRun: boolean;
+  /** Aborts when the caller has left or the time is over. */
+  signal: AbortSignal;
+}
+
+/** Why a call's signal aborted. */
+export type AbortReason = "caller_gone" | "time_over";
--- /dev/null
+++ b/packages/relay/src/relay_node.ts
@@ -0,0 +1,175 @@
+import { type Clock, sleep } from "@limpetshed/base";
+import {
+  type ColdLimits,
+  ColdStartGate,
+  EndpointChooser,
+  type EndpointPolicy,
+  EndpointRegistry,
+  LoadBoard,
+  RetryAllowance,
+  type RetryLimits,
+  SuspicionList,
+} from "@limpetshed/dispatch";
+import type { Logger } from "@limpetshed/observe";
+import { ConfigHolder } from "@limpetshed/routing";
+import { CallRelay } from "./call_relay.ts";
+import { ConnectionPool } from "./connection_pool.ts";
+import { FrontServer } from "./front_server.ts";
+import { ReadinessServer } from "./readiness_server.ts";
+import type { RelayObserver } from "./relay_observer.ts";
+import type { WireFormat } from "./wire_format.ts";
+
+/** Options of {@linkcode RelayNode}. */
+export interface RelayNodeOptions {
+  clock: Clock;
+  logger: Logger;
+  nodeId: string;
+  /** Ids of the nodes that may exist, this one included. */
+  nodeIds: () => readonly string[];
+  format: WireFormat;
+  observer: RelayObserver;
+  makePolicy: (board: LoadBoard) => EndpointPolicy;
+  retryLimits: RetryLimits;
+  coldLimits: ColdLimits;
+  readyPath: string;
+  /** A number in `[0, 1)` for each request. */
+  fraction: () => number;
+}
+
+/** Time from a stop until the balancer has noticed: two questions, one a
+ * second, and some slack. */
+const BALANCER_NOTICE_MS = 3_200;
+/** Part of the time allowed for a stop that may be used. */
+const GRACE_PART = 0.9;
+/** Pause between looks at what is still in flight. */
+const STOP_POLL_MS = 50;
+/** Part of an endpoint's connections that all nodes together use; the rest is
+ * for nodes that start meanwhile. */
+const CONNECTION_PART = 0.8;
+
+/** A node that relays: everything between callers and endpoints. */
+export class RelayNode {
+  readonly config = new ConfigHolder();
+  readonly registry: EndpointRegistry;
+  readonly board: LoadBoard;
+  readonly #options: RelayNodeOptions;
+  readonly #pool: ConnectionPool;
+  readonly #front: FrontServer;
+  readonly #ready: ReadinessServer;
+  #isStopping = false;
+
+  constructor(options: RelayNodeOptions) {
+    this.#options = options;
+    const { clock, format, observer, nodeIds } = options;
+    this.board = new LoadBoard({ clock });
+    this.#pool = new ConnectionPool({ clock });
+    const suspicion = new SuspicionList({ clock });
+    const coldGate = new ColdStartGate({
+      clock,
+      limits: options.coldLimits,
+      nodeId: options.nodeId,
+      nodeIds,
+    });
+    this.registry = new EndpointRegistry({
+      clock,
+      onDrop: ({ key, entry }) => {
+        suspicion.forget(key);
+        coldGate.forget(key);
+        this.board.forget(key);
+        this.#pool.forget(entry.address);
+      },
+    });
+    const allowance = new RetryAllowance({
+      clock,
+      limits: options.retryLimits,
+      nodes: () => nodeIds().length,
+    });
+    const chooser = new EndpointChooser({
+      clock,
+      registry: this.registry,
+      policy: options.makePolicy(this.board),
+      coldGate,
+      suspicion,
+      isConnectionLimitReached: (address, { maxConnections }) =>
+        this.#pool.openCount(address) >= Math.max(
+          1,
+          Math.floor(CONNECTION_PART * maxConnections / nodeIds().length),
+        ),
+    });
+    const relay = new CallRelay({
+      clock,
+      chooser,
+      board: this.board,
+      suspicion,
+      allowance,
+      pool: this.#pool,
+      format,
+      observer,
+      serviceOf: (name) => this.config.table?.service(name),
+    });
+    this.#front = new FrontServer({
+      clock,
+      config: this.config,
+      format,
+      relay,
+      observer,
+      fraction: options.fraction,
+    });
+    this.#ready = new ReadinessServer({
+      path: options.readyPath,
+      isReady: () => this.isReady,
+    });
+  }
+
+  /** Whether new connections may come here. */
+  get isReady(): boolean {
+    return !this.#isStopping && this.config.table !== undefined;
+  }
+
+  /** Starts listening for callers and for the balancer, both `ip:port`. */
+  async listen({ front, ready }: {
+    front: string;
+    ready: string;
+  }): Promise<void> {
+    await this.#front.listen(front);
+    await this.#ready.listen(ready);
+  }
+
+  /**
+   * Finishes what is in flight within `graceMs`: reports itself not ready,
+   * accepts connections until the balancer has noticed, then closes.
+   */
+  async stop({ graceMs }: { graceMs: number }): Promise<void> {
+    const { clock, logger } = this.#options;
+    const startedMs = clock.monotonicMs();
+    const lastMs = startedMs + graceMs * GRACE_PART;
+    this.#isStopping = true;
+    this.#front.beginStop();
+    logger.info({
+      event: "stop",
+      outcome: "draining",
+      inFlight: this.#front.inFlight,
+      graceMs,
+    });
+    await sleep(clock, Math.min(BALANCER_NOTICE_MS, graceMs / 2));
+    this.#front.closeIdle();
+    while (this.#front.inFlight > 0 && clock.monotonicMs() < lastMs) {
+      await sleep(clock, STOP_POLL_MS);
+      this.#front.closeIdle();
+    }
+    logger.info({
+      event: "stop",
+      outcome: this.#front.inFlight === 0 ? "finished" : "cut_off",
+      inFlight: this.#front.inFlight,
+      tookMs: Math.round(clock.monotonicMs() - startedMs),
+    });
+    this.close();
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    this.#front.close();
+    this.#ready.close();
+    this.#pool.close();
+  }
+}
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,13 @@
+/** Routes, services and client accounts of one configuration version. */
+export { ConfigHolder } from "./config_holder.ts";
+export { pickTarget } from "./pick_target.ts";
+export { RouteTable } from "./route_table.ts";
+export type {
+  CallerLimits,
+  CallKind,
+  ClientAccount,
+  Route,
+  RouteTarget,
+  RoutingConfig,
+  ServiceSpec,
+} from "./routing_config.ts";
--- a/scripts/check_layers.js
+++ b/scripts/check_layers.js
@@ -4,10 +4,14 @@
 import { join } from "node:path";
 
 const ROOT = new URL("..", import.meta.url).pathname;
-const PACKAGES = readdirSync(join(ROOT, "packages"));
+const PACKAGES = [...readdirSync(join(ROOT, "packages")), "platform"];
+
+function packagePath(name) {
+  return name === "platform" ? join(ROOT, name) : join(ROOT, "packages", name);
+}
 
 function declared(name) {
-  const text = readFileSync(join(ROOT, "packages", name, "package.json"));
+  const text = readFileSync(join(packagePath(name), "package.json"));
   return Object.keys(JSON.parse(text).dependencies);
 }
 
@@ -27,7 +31,7 @@
 function imported(name) {
   const found = new Set();
   for (const part of ["src", "tests"]) {
-    const files = sources(join(ROOT, "packages", name, part));
+    const files = sources(join(packagePath(name), part));
     for (const file of files) {
       const text = readFileSync(file, "utf8");
       for (const [, target] of text.matchAll(/from "(@limpetshed\/\w+)"/g)) {
