--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -159,6 +159,13 @@
       socket.on("error", (err) => {
         this.#socketError = err;
       });
+      socket.on("end", () => {
+        // The event loop reports a reset that comes right behind bytes as an
+        // orderly end; only then does the socket no longer have a peer.
+        if (socket.remoteAddress === undefined) {
+          this.#socketError = new Error("reset by the endpoint");
+        }
+      });
       done(null, socket);
     });
   }
