feat(dispatch): place prompts where their shared parts are held, copy instead of reading again

Nodes now tell each other loads and placements by datagram, keep a text where it was read, and copy it to another endpoint when that one is full or leaving.

--- a/packages/dispatch/src/baseline_policies.ts
+++ b/packages/dispatch/src/baseline_policies.ts
@@ -1,11 +1,15 @@
 import { rendezvousRank } from "@limpetshed/hashing";
 import type { Endpoint } from "./endpoint_registry.ts";
-import { EndpointPolicy, type PolicyRequest } from "./endpoint_policy.ts";
+import {
+  EndpointPolicy,
+  type Placement,
+  type PolicyRequest,
+} from "./endpoint_policy.ts";
 
 /** Baseline: the fewest requests in flight, blind to prompts. */
 export class LeastLoadedPolicy extends EndpointPolicy {
-  choose({ candidates }: PolicyRequest): Endpoint {
-    return this.leastLoaded(candidates);
+  place({ candidates }: PolicyRequest): Placement {
+    return { endpoint: this.leastLoaded(candidates) };
   }
 }
 
@@ -14,15 +18,15 @@
 
 /** Baseline: rendezvous hashing with bounded loads on the first prompt part. */
 export class AffinityPolicy extends EndpointPolicy {
-  choose({ prompt, usable, candidates }: PolicyRequest): Endpoint {
+  place({ prompt, members, candidates }: PolicyRequest): Placement {
     const first = prompt?.parts[0];
     if (first === undefined) {
-      return this.leastLoaded(candidates);
+      return { endpoint: this.leastLoaded(candidates) };
     }
-    const bound = Math.ceil(AFFINITY_MULTIPLE * this.meanLoad(usable)) + 1;
-    return rankEndpoints(first.id, candidates)
-      .find(({ key }) => this.board.total(key) < bound) ??
-      this.leastLoaded(candidates);
+    const bound = Math.ceil(AFFINITY_MULTIPLE * this.meanLoad(members)) + 1;
+    const endpoint = rankEndpoints(first.id, candidates)
+      .find(({ key }) => this.board.total(key) < bound);
+    return { endpoint: endpoint ?? this.leastLoaded(candidates) };
   }
 }
 
@@ -35,17 +39,19 @@
 
 /** Baseline: rendezvous hashing on the last part that requests share. */
 export class LastSharedPolicy extends EndpointPolicy {
-  choose({ prompt, usable, candidates }: PolicyRequest): Endpoint {
+  place({ prompt, members, candidates }: PolicyRequest): Placement {
     const shared = prompt?.parts.at(-2) ?? prompt?.parts.at(-1);
     if (shared === undefined) {
-      return this.leastLoaded(candidates);
+      return { endpoint: this.leastLoaded(candidates) };
     }
-    const bound = LAST_SHARED_MULTIPLE * this.meanLoad(usable) +
+    const bound = LAST_SHARED_MULTIPLE * this.meanLoad(members) +
       LAST_SHARED_SLACK;
-    return rankEndpoints(shared.id, candidates).find(({ key, entry }) => {
+    const ranked = rankEndpoints(shared.id, candidates);
+    const endpoint = ranked.find(({ key, entry }) => {
       const load = this.board.total(key);
       return load <= bound && load < LAST_SHARED_SLOTS * entry.slots;
-    }) ?? this.leastLoaded(candidates);
+    });
+    return { endpoint: endpoint ?? this.leastLoaded(candidates) };
   }
 }
 
--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -19,7 +19,7 @@
 
 /** The endpoint to try, or why there is none. */
 export type Choice =
-  | { endpoint: Endpoint; candidates: number }
+  | { endpoint: Endpoint; copyFrom?: Endpoint; candidates: number }
   | { refusal: NoChoice };
 
 /** What is to be placed. */
@@ -69,13 +69,17 @@
     if (candidates.length === 0) {
       return { refusal: "connection_limit" };
     }
-    const req = { service: spec.name, prompt, usable, candidates };
-    const endpoint = policy.choose(req);
-    policy.noteStarted(req, endpoint);
+    const members = registry.members(spec.name);
+    const { endpoint, copyFrom } = policy.place({
+      service: spec.name,
+      prompt,
+      members,
+      candidates,
+    });
     if (this.#isCold(endpoint)) {
       coldGate.count(endpoint.key);
     }
-    return { endpoint, candidates: candidates.length };
+    return { endpoint, copyFrom, candidates: candidates.length };
   }
 
   #bears(endpoint: Endpoint, spec: ServiceSpec): boolean {
--- a/packages/dispatch/src/endpoint_policy.ts
+++ b/packages/dispatch/src/endpoint_policy.ts
@@ -7,12 +7,19 @@
   service: string;
   /** Undefined for calls of plain services. */
   prompt: PromptFacts | undefined;
-  /** Endpoints of the service in service, whether or not they may be tried. */
-  usable: readonly Endpoint[];
-  /** Those of `usable` that may be tried now; never empty. */
+  /** Every endpoint of the service, also those that take no new work. */
+  members: readonly Endpoint[];
+  /** Those that may be tried now; never empty. */
   candidates: readonly Endpoint[];
 }
 
+/** Where a request goes. */
+export interface Placement {
+  endpoint: Endpoint;
+  /** Endpoint to copy known parts of the prompt from. */
+  copyFrom?: Endpoint;
+}
+
 /** Chooses the endpoint of a request. */
 export abstract class EndpointPolicy {
   protected readonly board: LoadBoard;
@@ -21,11 +28,8 @@
     this.board = board;
   }
 
-  /** One of the candidates. */
-  abstract choose(req: PolicyRequest): Endpoint;
-
-  /** Notes that a request runs at `endpoint`. */
-  noteStarted(_req: PolicyRequest, _endpoint: Endpoint): void {}
+  /** Places a request on one of the candidates. */
+  abstract place(req: PolicyRequest): Placement;
 
   /** Mean of the requests in flight at each of `endpoints`. */
   protected meanLoad(endpoints: readonly Endpoint[]): number {
--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -27,6 +27,8 @@
   readonly #options: EndpointRegistryOptions;
   readonly #byId = new Map<string, Endpoint>();
   readonly #zonesOut = new Set<string>();
+  readonly #byKey = new Map<string, Endpoint>();
+  readonly #members = new Map<string, readonly Endpoint[]>();
   readonly #usable = new Map<string, readonly Endpoint[]>();
   #version = 0;
 
@@ -46,6 +48,7 @@
     const key = `${entry.id}/${entry.bornMs}`;
     const coldUntilMs = entry.coldMs > 0 ? now + entry.coldMs : 0;
     if (known !== undefined && known.key !== key) {
+      this.#byKey.delete(known.key);
       this.#options.onDrop?.(known, "reborn");
     }
     const isSame = known?.key === key;
@@ -56,6 +59,7 @@
       sinceMs: isSame ? known.sinceMs : now,
     };
     this.#byId.set(entry.id, endpoint);
+    this.#byKey.set(key, endpoint);
     this.#changed();
     return endpoint;
   }
@@ -67,6 +71,7 @@
       return false;
     }
     this.#byId.delete(id);
+    this.#byKey.delete(known.key);
     this.#options.onDrop?.(known, "gone");
     this.#changed();
     return true;
@@ -92,24 +97,30 @@
     return this.#byId.get(id);
   }
 
-  /** All endpoints. */
-  all(): Iterable<Endpoint> {
-    return this.#byId.values();
+  /** The endpoint of that key. */
+  find(key: string): Endpoint | undefined {
+    return this.#byKey.get(key);
+  }
+
+  /** Every endpoint of a service, sorted by key. */
+  members(service: string): readonly Endpoint[] {
+    let found = this.#members.get(service);
+    if (found === undefined) {
+      found = [...this.#byId.values()]
+        .filter(({ entry }) => entry.service === service)
+        .sort((a, b) => (a.key < b.key ? -1 : 1));
+      this.#members.set(service, found);
+    }
+    return found;
   }
 
   /** Endpoints of a service that may get new work, sorted by key. */
   usable(service: string): readonly Endpoint[] {
-    const known = this.#usable.get(service);
-    if (known !== undefined) {
-      return known;
+    let found = this.#usable.get(service);
+    if (found === undefined) {
+      found = this.members(service).filter((member) => this.isUsable(member));
+      this.#usable.set(service, found);
     }
-    const found = [...this.#byId.values()]
-      .filter(({ entry }) =>
-        entry.service === service && entry.state === "ready" &&
-        !this.#zonesOut.has(entry.availabilityZone)
-      )
-      .sort((a, b) => (a.key < b.key ? -1 : 1));
-    this.#usable.set(service, found);
     return found;
   }
 
@@ -122,6 +133,7 @@
 
   #changed(): void {
     this.#version += 1;
+    this.#members.clear();
     this.#usable.clear();
   }
 }
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -22,7 +22,11 @@
 } from "./endpoint_chooser.ts";
 export { Departures } from "./departures.ts";
 export type { EndpointEntry } from "./endpoint_entry.ts";
-export { EndpointPolicy, type PolicyRequest } from "./endpoint_policy.ts";
+export {
+  EndpointPolicy,
+  type Placement,
+  type PolicyRequest,
+} from "./endpoint_policy.ts";
 export {
   type DropReason,
   type Endpoint,
@@ -30,6 +34,12 @@
   type EndpointRegistryOptions,
 } from "./endpoint_registry.ts";
 export { LoadBoard } from "./load_board.ts";
+export {
+  type HeldPart,
+  PrefixHolders,
+  type PrefixHoldersOptions,
+} from "./prefix_holders.ts";
+export { PrefixPolicy, type PrefixPolicyOptions } from "./prefix_policy.ts";
 export type { PromptFacts, PromptPart } from "./prompt_facts.ts";
 export { RetryAllowance, type RetryLimits } from "./retry_allowance.ts";
 export { SlidingCount } from "./sliding_count.ts";
--- /dev/null
+++ b/packages/dispatch/src/prefix_holders.ts
@@ -0,0 +1,87 @@
+import type { Clock } from "@limpetshed/base";
+import { LRUCache } from "lru-cache";
+
+/** An endpoint that has read a prompt up to a part. */
+export interface HeldPart {
+  partId: string;
+  endpoint: string;
+}
+
+/** Options of {@linkcode PrefixHolders}. */
+export interface PrefixHoldersOptions {
+  clock: Clock;
+  /** Parts remembered, the least recently used are forgotten. */
+  maxParts?: number;
+  /** How long an endpoint counts as holding a part since its last use,
+   * milliseconds. */
+  holdMs?: number;
+}
+
+/** Some 150 bytes each, so a few megabytes. */
+const MAX_PARTS = 20_000;
+/** Endpoints keep what they used in the last minute unless memory is short. */
+const HOLD_MS = 60_000;
+
+/**
+ * Which endpoints hold which parts of prompts, from what this node and others
+ * sent there. Answers returning chats and long texts that many chats share:
+ * each is read by one endpoint, not by each that could.
+ */
+export class PrefixHolders {
+  readonly #clock: Clock;
+  readonly #holdMs: number;
+  readonly #parts: LRUCache<string, Map<string, number>>;
+  #news: HeldPart[] = [];
+
+  constructor(
+    { clock, maxParts = MAX_PARTS, holdMs = HOLD_MS }: PrefixHoldersOptions,
+  ) {
+    this.#clock = clock;
+    this.#holdMs = holdMs;
+    this.#parts = new LRUCache({ max: maxParts });
+  }
+
+  /** Notes that this node sent a prompt with the part to an endpoint. */
+  sent(held: HeldPart): void {
+    this.#note(held);
+    this.#news.push(held);
+  }
+
+  /** Notes what another node sent. */
+  heard(held: readonly HeldPart[]): void {
+    held.forEach((part) => this.#note(part));
+  }
+
+  /** What this node sent since the last call. */
+  takeNews(): HeldPart[] {
+    const news = this.#news;
+    this.#news = [];
+    return news;
+  }
+
+  /** Endpoints that hold the part. */
+  holders(partId: string): ReadonlySet<string> {
+    const oldest = this.#clock.monotonicMs() - this.#holdMs;
+    const found = new Set<string>();
+    for (const [endpoint, usedMs] of this.#parts.get(partId) ?? []) {
+      if (usedMs >= oldest) {
+        found.add(endpoint);
+      }
+    }
+    return found;
+  }
+
+  /** Forgets that an endpoint holds the part. */
+  lost({ partId, endpoint }: HeldPart): void {
+    this.#parts.get(partId)?.delete(endpoint);
+  }
+
+  #note({ partId, endpoint }: HeldPart): void {
+    let endpoints = this.#parts.get(partId);
+    if (endpoints === undefined) {
+      endpoints = new Map();
+      this.#parts.set(partId, endpoints);
+    }
+    endpoints.set(endpoint, this.#clock.monotonicMs());
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/prefix_policy.ts
@@ -0,0 +1,136 @@
+import { rankEndpoints } from "./baseline_policies.ts";
+import type { Endpoint } from "./endpoint_registry.ts";
+import {
+  EndpointPolicy,
+  type Placement,
+  type PolicyRequest,
+} from "./endpoint_policy.ts";
+import type { LoadBoard } from "./load_board.ts";
+import type { PrefixHolders } from "./prefix_holders.ts";
+import type { PromptFacts } from "./prompt_facts.ts";
+
+/** Options of {@linkcode PrefixPolicy}. */
+export interface PrefixPolicyOptions {
+  board: LoadBoard;
+  holders: PrefixHolders;
+  /** Availability zone of this node. */
+  availabilityZone: string;
+  /** Multiple of the mean load that no endpoint may carry. */
+  loadMultiple: number;
+  /** Finds an endpoint by its key, also one that takes no new work. */
+  find: (key: string) => Endpoint | undefined;
+}
+
+/** Requests above the multiple of the mean that are allowed. */
+const LOAD_SLACK = 3;
+/** Requests kept free below the allowed load, since other nodes send too. */
+const LOAD_MARGIN = 1;
+/** Multiple of the mean up to which an endpoint takes new texts. */
+const NEW_TEXT_MULTIPLE = 1.25;
+/** Part of the slots above which waiting costs more than reading anew. */
+const BUSY_PART = 0.875;
+/** Copying fewer tokens than these costs more time than reading them. */
+const MIN_COPY_TOKENS = 256;
+/** Load that another zone's endpoint may be below a near one, in slots. */
+const ZONE_PREFERENCE = 0.1;
+
+/**
+ * Answers long texts shared by many chats and chats that return: a request
+ * goes where the last shared part of its prompt has been read, as long as that
+ * endpoint is within the bound on the load; else the part is copied to another
+ * one instead of read again.
+ */
+export class PrefixPolicy extends EndpointPolicy {
+  readonly #options: PrefixPolicyOptions;
+  #turn = 0;
+
+  constructor(options: PrefixPolicyOptions) {
+    super(options);
+    this.#options = options;
+  }
+
+  place(req: PolicyRequest): Placement {
+    const { prompt, candidates } = req;
+    const shared = prompt === undefined ? undefined : sharedPart(prompt);
+    if (shared === undefined) {
+      return { endpoint: this.#nearest(candidates) };
+    }
+    const { holders } = this.#options;
+    const holding = holders.holders(shared.id);
+    const bound = this.#bound(req);
+    const endpoint = this.#leastLoadedHolder(req, { holding, bound }) ??
+      this.#firstRanked(shared.id, req);
+    const copyFrom = holding.has(endpoint.key) ||
+        sharedTokens(prompt!) < MIN_COPY_TOKENS
+      ? undefined
+      : this.#copySource(holding);
+    holders.sent({ partId: shared.id, endpoint: endpoint.key });
+    return { endpoint, copyFrom };
+  }
+
+  #bound({ members }: PolicyRequest): number {
+    const { loadMultiple } = this.#options;
+    return loadMultiple * this.meanLoad(members) + LOAD_SLACK - LOAD_MARGIN;
+  }
+
+  #leastLoadedHolder(
+    { candidates }: PolicyRequest,
+    { holding, bound }: { holding: ReadonlySet<string>; bound: number },
+  ): Endpoint | undefined {
+    const fitting = candidates.filter(({ key, entry }) => {
+      const load = this.board.total(key);
+      return holding.has(key) && load + 1 <= bound &&
+        load < BUSY_PART * entry.slots;
+    });
+    return fitting.length === 0 ? undefined : this.leastLoaded(fitting);
+  }
+
+  /** The same endpoint on every node that sees the same loads. */
+  #firstRanked(partId: string, { members, candidates }: PolicyRequest) {
+    const bound = NEW_TEXT_MULTIPLE * this.meanLoad(members) + 1;
+    return rankEndpoints(partId, candidates)
+      .find(({ key }) => this.board.total(key) <= bound) ??
+      this.leastLoaded(candidates);
+  }
+
+  #copySource(holding: ReadonlySet<string>): Endpoint | undefined {
+    for (const key of holding) {
+      const endpoint = this.#options.find(key);
+      if (endpoint !== undefined) {
+        return endpoint;
+      }
+    }
+    return undefined;
+  }
+
+  /** For calls without a prompt: the least loaded, near ones first. */
+  #nearest(candidates: readonly Endpoint[]): Endpoint {
+    const { availabilityZone } = this.#options;
+    this.#turn += 1;
+    let best = candidates[0]!;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (let at = 0; at < candidates.length; at += 1) {
+      const candidate = candidates[(at + this.#turn) % candidates.length]!;
+      const { key, entry } = candidate;
+      const far = entry.availabilityZone === availabilityZone
+        ? 0
+        : ZONE_PREFERENCE;
+      const cost = this.board.total(key) / Math.max(1, entry.slots) + far;
+      if (cost < bestCost) {
+        best = candidate;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+}
+
+/** The deepest part that other requests may share. */
+function sharedPart({ parts }: PromptFacts) {
+  return parts.at(-2) ?? parts.at(-1);
+}
+
+/** Tokens up to the deepest shared part. */
+function sharedTokens({ parts }: PromptFacts): number {
+  return parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,22 @@
+/** What nodes tell each other. */
+export { LoadExchange, type LoadExchangeOptions } from "./load_exchange.ts";
+export {
+  decodeLoadMessage,
+  encodeLoadMessage,
+  type LoadMessage,
+} from "./load_message.ts";
+export {
+  NodeRegistration,
+  type NodeRegistrationOptions,
+  type RegistrationStore,
+} from "./node_registration.ts";
+export {
+  PeerChangeSource,
+  type PeerChangeSourceOptions,
+} from "./peer_change_source.ts";
+export {
+  type Peer,
+  type PeerAddress,
+  PeerDirectory,
+} from "./peer_directory.ts";
+export { PeerServer } from "./peer_server.ts";
--- /dev/null
+++ b/packages/fleet/src/load_message.ts
@@ -0,0 +1,93 @@
+import { Buffer } from "node:buffer";
+
+/** What one node tells the others in a datagram. */
+export interface LoadMessage {
+  nodeId: string;
+  /** Differs between starts of a node. */
+  incarnation: string;
+  /** Grows with each round of a start. */
+  round: number;
+  /** Revision of the shared state that the node knows. */
+  asOf: number;
+  /** Requests of the node in flight, by endpoint key. */
+  counts: ReadonlyMap<string, number>;
+  /** Parts of prompts that the node sent lately, and endpoint keys in turn. */
+  placed: readonly string[];
+}
+
+/** Larger datagrams may be split on the way. */
+const MAX_DATAGRAM_BYTES = 1_200;
+/** Bytes of a datagram beside its counts, at the most. */
+const FRAME_BYTES = 200;
+
+type Wire = [string, string, number, number, (string | number)[], string[]];
+
+/** Encodes a message, in several datagrams if it is long. */
+export function encodeLoadMessage(message: LoadMessage): Buffer[] {
+  const { nodeId, incarnation, round, asOf, counts, placed } = message;
+  const loads = splitPairs([...counts].flat());
+  const places = splitPairs(placed);
+  const datagrams: Buffer[] = [];
+  for (let at = 0; at < Math.max(loads.length, places.length); at += 1) {
+    const wire: Wire = [
+      nodeId,
+      incarnation,
+      round,
+      asOf,
+      loads[at] ?? [],
+      places[at] ?? [],
+    ];
+    datagrams.push(Buffer.from(JSON.stringify(wire)));
+  }
+  return datagrams;
+}
+
+/** Splits a flat list of pairs so that two lists fit into one datagram. */
+function splitPairs<T extends string | number>(flat: readonly T[]): T[][] {
+  const lists: T[][] = [[]];
+  let bytes = 0;
+  for (let at = 0; at + 1 < flat.length; at += 2) {
+    const size = String(flat[at]).length + String(flat[at + 1]).length + 6;
+    if (bytes + size > (MAX_DATAGRAM_BYTES - FRAME_BYTES) / 2) {
+      lists.push([]);
+      bytes = 0;
+    }
+    lists.at(-1)!.push(flat[at]!, flat[at + 1]!);
+    bytes += size;
+  }
+  return lists;
+}
+
+/** Decodes a datagram; undefined if it is none of ours. */
+export function decodeLoadMessage(data: Buffer): LoadMessage | undefined {
+  let wire: unknown;
+  try {
+    wire = JSON.parse(data.toString("utf8"));
+  } catch {
+    // Anything may arrive on an open port.
+    return undefined;
+  }
+  if (!isWire(wire)) {
+    return undefined;
+  }
+  const [nodeId, incarnation, round, asOf, flat, placed] = wire;
+  const counts = new Map<string, number>();
+  for (let at = 0; at + 1 < flat.length; at += 2) {
+    counts.set(String(flat[at]), Math.max(0, Number(flat[at + 1]) || 0));
+  }
+  return {
+    nodeId,
+    incarnation,
+    round,
+    asOf,
+    counts,
+    placed: placed.map(String),
+  };
+}
+
+function isWire(value: unknown): value is Wire {
+  return Array.isArray(value) && value.length === 6 &&
+    typeof value[0] === "string" && typeof value[1] === "string" &&
+    Number.isSafeInteger(value[2]) && Number.isSafeInteger(value[3]) &&
+    Array.isArray(value[4]) && Array.isArray(value[5]);
+}
--- /dev/null
+++ b/packages/fleet/src/peer_directory.ts
@@ -0,0 +1,83 @@
+import type { Clock } from "@limpetshed/base";
+
+/** Where a node can be reached. */
+export interface PeerAddress {
+  id: string;
+  /** `ip:port` for calls. */
+  calls: string;
+  /** `ip:port` for datagrams. */
+  datagrams: string;
+}
+
+/** What is known of another node. */
+export interface Peer extends PeerAddress {
+  /** Monotonic time of its last datagram; negative infinity before the first. */
+  heardMs: number;
+  /** Revision of the shared state that it knows. */
+  asOf: number;
+}
+
+/** A node that has been silent for longer is not counted on, milliseconds;
+ * several datagrams. */
+const SILENT_MS = 1_500;
+
+/** The other nodes of the fleet. */
+export class PeerDirectory {
+  readonly #clock: Clock;
+  readonly #selfId: string;
+  readonly #peers = new Map<string, Peer>();
+
+  constructor({ clock, selfId }: { clock: Clock; selfId: string }) {
+    this.#clock = clock;
+    this.#selfId = selfId;
+  }
+
+  /** Adds a node or takes its new addresses. */
+  put(address: PeerAddress): void {
+    if (address.id !== this.#selfId) {
+      const known = this.#peers.get(address.id);
+      this.#peers.set(address.id, {
+        heardMs: Number.NEGATIVE_INFINITY,
+        asOf: 0,
+        ...known,
+        ...address,
+      });
+    }
+  }
+
+  /** Removes a node. */
+  drop(id: string): void {
+    this.#peers.delete(id);
+  }
+
+  /** Notes a datagram from a node. */
+  heard(id: string, asOf: number): void {
+    const peer = this.#peers.get(id);
+    if (peer !== undefined) {
+      peer.heardMs = this.#clock.monotonicMs();
+      peer.asOf = Math.max(peer.asOf, asOf);
+    }
+  }
+
+  /** Ids of all nodes, this one included. */
+  ids(): readonly string[] {
+    return [this.#selfId, ...this.#peers.keys()];
+  }
+
+  /** All other nodes. */
+  all(): readonly Peer[] {
+    return [...this.#peers.values()];
+  }
+
+  /** The node heard lately that knows the newest shared state. */
+  newest(): Peer | undefined {
+    const oldest = this.#clock.monotonicMs() - SILENT_MS;
+    return this.all()
+      .filter(({ heardMs }) => heardMs >= oldest)
+      .reduce<Peer | undefined>(
+        (best, peer) =>
+          best === undefined || peer.asOf > best.asOf ? peer : best,
+        undefined,
+      );
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/peer_server.ts
@@ -0,0 +1,60 @@
+import * as http from "node:http";
+import type { KeyMirror } from "@limpetshed/mirror";
+import {
+  createApp,
+  createError,
+  createRouter,
+  defineEventHandler,
+  getQuery,
+  toNodeListener,
+} from "h3";
+
+/** Path of the shared state. */
+export const CHANGES_PATH = "/changes";
+
+/** How long a caller that is up to date waits for news, milliseconds. */
+export const CHANGES_WAIT_MS = 300;
+
+/** Answers other nodes that are behind. */
+export class PeerServer {
+  readonly #server: http.Server;
+
+  constructor({ mirror }: { mirror: KeyMirror }) {
+    const router = createRouter();
+    router.get(
+      CHANGES_PATH,
+      defineEventHandler(async (event) => {
+        const after = Number(getQuery(event).after ?? 0);
+        if (!Number.isSafeInteger(after) || after < 0) {
+          throw createError({ statusCode: 400 });
+        }
+        if (mirror.asOf <= after) {
+          await mirror.nextUpdate(AbortSignal.timeout(CHANGES_WAIT_MS));
+        }
+        if (mirror.asOf === 0) {
+          throw createError({ statusCode: 503 });
+        }
+        return mirror.changesAfter(after);
+      }),
+    );
+    const app = createApp();
+    app.use(router);
+    this.#server = http.createServer(toNodeListener(app));
+  }
+
+  /** Starts listening on `ip:port`. */
+  async listen(address: string): Promise<void> {
+    const at = address.lastIndexOf(":");
+    const port = Number(address.slice(at + 1));
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, address.slice(0, at), resolve);
+    });
+  }
+
+  /** Stops listening. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- a/packages/mirror/src/change_source.ts
+++ b/packages/mirror/src/change_source.ts
@@ -37,5 +37,7 @@
   ): Promise<ChangeBatch | Snapshot>;
 
   /** Reads every key. Rejects when the source cannot be reached. */
-  abstract readAll(options: { signal: AbortSignal }): Promise<Snapshot>;
+  abstract readAll(
+    options: { signal: AbortSignal },
+  ): Promise<ChangeBatch | Snapshot>;
 }
--- a/packages/relay/src/call_relay.ts
+++ b/packages/relay/src/call_relay.ts
@@ -104,11 +104,12 @@
       this.#options.observer.notPlaced(call, choice.refusal);
       throw placeError(call, choice.refusal);
     }
-    const { endpoint, candidates } = choice;
+    const { endpoint, copyFrom, candidates } = choice;
     const load = board.total(endpoint.key);
     const attempt = new SendAttempt({
       call,
       endpoint,
+      copyFrom,
       sink,
       pool,
       board,
@@ -121,15 +122,22 @@
     });
     const result = await attempt.result;
     this.#note(call, endpoint, result);
-    this.#options.observer.sent({ call, endpoint, result, load, candidates });
+    this.#options.observer.sent({
+      call,
+      endpoint,
+      copyFrom,
+      result,
+      load,
+      candidates,
+    });
     return result;
   }
 
   /** Whether a failure is to be tried elsewhere instead of relayed. */
   #wantsRepeat(call: RelayCall, { key }: Endpoint): boolean {
     const counts = { ...call.counts, sends: call.counts.sends + 1 };
-    const { chooser: _chooser, allowance } = this.#options;
-    this.#options.suspicion.failed(key);
+    const { suspicion, allowance } = this.#options;
+    suspicion.failed(key);
     return mayTryAgain("failed", { route: call.route, counts }) &&
       allowance.tryRepeat(call.service);
   }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -15,5 +15,9 @@
   type SendFacts,
   WireFormat,
 } from "./wire_format.ts";
-export { RelayNode, type RelayNodeOptions } from "./relay_node.ts";
+export {
+  type PolicyParts,
+  RelayNode,
+  type RelayNodeOptions,
+} from "./relay_node.ts";
 export { LogObserver, type LogObserverOptions } from "./log_observer.ts";
--- a/packages/relay/src/log_observer.ts
+++ b/packages/relay/src/log_observer.ts
@@ -24,7 +24,9 @@
     this.#budget = new LogBudget({ clock });
   }
 
-  sent({ call, endpoint, result, load, candidates }: SendRecord): void {
+  sent(
+    { call, endpoint, copyFrom, result, load, candidates }: SendRecord,
+  ): void {
     this.#line(`send_${result.outcome}`, () => ({
       requestId: call.requestId,
       event: "send",
@@ -34,6 +36,7 @@
       service: call.service,
       endpointId: endpoint.entry.id,
       availabilityZone: endpoint.entry.availabilityZone,
+      copyFrom: copyFrom?.entry.id,
       load,
       candidates,
       entryAgeMs: Math.round(this.#clock.monotonicMs() - endpoint.sinceMs),
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -6,6 +6,7 @@
   type EndpointPolicy,
   EndpointRegistry,
   LoadBoard,
+  PrefixHolders,
   RetryAllowance,
   type RetryLimits,
   SuspicionList,
@@ -19,6 +20,13 @@
 import type { RelayObserver } from "./relay_observer.ts";
 import type { WireFormat } from "./wire_format.ts";
 
+/** What policies decide by. */
+export interface PolicyParts {
+  board: LoadBoard;
+  holders: PrefixHolders;
+  registry: EndpointRegistry;
+}
+
 /** Options of {@linkcode RelayNode}. */
 export interface RelayNodeOptions {
   clock: Clock;
@@ -28,7 +36,7 @@
   nodeIds: () => readonly string[];
   format: WireFormat;
   observer: RelayObserver;
-  makePolicy: (board: LoadBoard) => EndpointPolicy;
+  makePolicy: (parts: PolicyParts) => EndpointPolicy;
   retryLimits: RetryLimits;
   coldLimits: ColdLimits;
   readyPath: string;
@@ -52,6 +60,7 @@
   readonly config = new ConfigHolder();
   readonly registry: EndpointRegistry;
   readonly board: LoadBoard;
+  readonly holders: PrefixHolders;
   readonly #options: RelayNodeOptions;
   readonly #pool: ConnectionPool;
   readonly #front: FrontServer;
@@ -62,6 +71,7 @@
     this.#options = options;
     const { clock, format, observer, nodeIds } = options;
     this.board = new LoadBoard({ clock });
+    this.holders = new PrefixHolders({ clock });
     this.#pool = new ConnectionPool({ clock });
     const suspicion = new SuspicionList({ clock });
     const coldGate = new ColdStartGate({
@@ -87,7 +97,11 @@
     const chooser = new EndpointChooser({
       clock,
       registry: this.registry,
-      policy: options.makePolicy(this.board),
+      policy: options.makePolicy({
+        board: this.board,
+        holders: this.holders,
+        registry: this.registry,
+      }),
       coldGate,
       suspicion,
       isConnectionLimitReached: (address, { maxConnections }) =>
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -7,6 +7,7 @@
 export interface SendRecord {
   call: RelayCall;
   endpoint: Endpoint;
+  copyFrom: Endpoint | undefined;
   result: SendResult;
   /** Requests that the endpoint was believed to have when it was chosen. */
   load: number;
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -28,6 +28,8 @@
 export interface SendAttemptOptions {
   call: RelayCall;
   endpoint: Endpoint;
+  /** Endpoint to copy known parts of the prompt from. */
+  copyFrom: Endpoint | undefined;
   sink: AnswerSink;
   pool: ConnectionPool;
   board: LoadBoard;
@@ -207,6 +209,7 @@
       endpointId: endpoint.entry.id,
       account: call.account,
       urgency,
+      copyFrom: this.#options.copyFrom?.entry.address,
       lastEventId: framer?.lastEventId,
     };
     const hop = hopHeaders(call.connectionHeader);
--- a/packages/relay/tests/answer_endings_test.ts
+++ b/packages/relay/tests/answer_endings_test.ts
@@ -71,9 +71,10 @@
         setTimeout(() => socket.resetAndDestroy(), 50);
       });
     });
-    expect(ending.kind === "error" || ending.socketError !== undefined).to.equal(
-      true,
-    );
+    expect(ending.kind === "error" || ending.socketError !== undefined).to
+      .equal(
+        true,
+      );
   });
 
   it("is not whole after a reset right behind its bytes", async () => {
@@ -81,8 +82,9 @@
       socket.write(`${HEAD}half`);
       socket.resetAndDestroy();
     });
-    expect(ending.kind === "error" || ending.socketError !== undefined).to.equal(
-      true,
-    );
+    expect(ending.kind === "error" || ending.socketError !== undefined).to
+      .equal(
+        true,
+      );
   });
 });
