feat(fleet): one node of each zone watches the store, the others follow it

Calls now grow with the zones, not the fleet; nodes whose path is lost are passed over. An endpoint whose entry is gone stays the last resort while it may still get requests.

--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -10,6 +10,8 @@
   coldUntilMs: number;
   /** Monotonic time at which it became known. */
   readonly sinceMs: number;
+  /** Its entry is gone; it gets work only if no other endpoint can. */
+  isFading: boolean;
 }
 
 /** Why an endpoint was dropped. */
@@ -57,6 +59,7 @@
       entry,
       coldUntilMs: Math.max(coldUntilMs, isSame ? known.coldUntilMs : 0),
       sinceMs: isSame ? known.sinceMs : now,
+      isFading: false,
     };
     this.#byId.set(entry.id, endpoint);
     this.#byKey.set(key, endpoint);
@@ -64,6 +67,16 @@
     return endpoint;
   }
 
+  /** Leaves an endpoint whose entry is gone to requests that no other can
+   * take. */
+  fade(id: string): void {
+    const known = this.#byId.get(id);
+    if (known !== undefined) {
+      known.isFading = true;
+      this.#changed();
+    }
+  }
+
   /** Drops an endpoint; returns whether it was known. */
   drop(id: string): boolean {
     const known = this.#byId.get(id);
@@ -118,7 +131,10 @@
   usable(service: string): readonly Endpoint[] {
     let found = this.#usable.get(service);
     if (found === undefined) {
-      found = this.members(service).filter((member) => this.isUsable(member));
+      const ready = this.members(service)
+        .filter((member) => this.isUsable(member));
+      const present = ready.filter(({ isFading }) => !isFading);
+      found = present.length > 0 ? present : ready;
       this.#usable.set(service, found);
     }
     return found;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -20,3 +20,8 @@
   PeerDirectory,
 } from "./peer_directory.ts";
 export { PeerServer } from "./peer_server.ts";
+export {
+  chooseWatchers,
+  type DutyCandidate,
+  type StorePath,
+} from "./watch_duty.ts";
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "@limpetshed/observe";
 import { decodeLoadMessage, encodeLoadMessage } from "./load_message.ts";
 import type { Peer, PeerDirectory } from "./peer_directory.ts";
+import type { StorePath } from "./watch_duty.ts";
 
 /** Options of {@linkcode LoadExchange}. */
 export interface LoadExchangeOptions {
@@ -17,6 +18,8 @@
   ownCounts: () => ReadonlyMap<string, number>;
   /** Revision of the shared state known here. */
   asOf: () => number;
+  /** This node's path to the store. */
+  storePath: () => StorePath;
   /** Parts of prompts that this node sent since the last call, and endpoint
    * keys in turn. */
   takePlaced: () => string[];
@@ -91,6 +94,7 @@
       incarnation,
       round: this.#round,
       asOf: asOf(),
+      storePath: this.#options.storePath(),
       counts: ownCounts(),
       placed: this.#placed.flat(),
     });
@@ -115,7 +119,7 @@
     if (message === undefined) {
       return;
     }
-    const { nodeId, incarnation, round, asOf, counts, placed } = message;
+    const { nodeId, incarnation, round, counts, placed } = message;
     const { directory, onCounts, onPlaced } = this.#options;
     const known = this.#seen.get(nodeId);
     const isSameStart = known?.incarnation === incarnation;
@@ -125,7 +129,7 @@
     const isSameRound = isSameStart && round === known.round;
     const all = new Map(isSameRound ? [...known.counts, ...counts] : counts);
     this.#seen.set(nodeId, { incarnation, round, counts: all });
-    directory.heard(nodeId, asOf);
+    directory.heard(nodeId, message);
     onCounts(nodeId, all);
     onPlaced(placed);
   }
--- a/packages/fleet/src/load_message.ts
+++ b/packages/fleet/src/load_message.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import type { StorePath } from "./watch_duty.ts";
 
 /** What one node tells the others in a datagram. */
 export interface LoadMessage {
@@ -9,6 +10,7 @@
   round: number;
   /** Revision of the shared state that the node knows. */
   asOf: number;
+  storePath: StorePath;
   /** Requests of the node in flight, by endpoint key. */
   counts: ReadonlyMap<string, number>;
   /** Parts of prompts that the node sent lately, and endpoint keys in turn. */
@@ -20,11 +22,26 @@
 /** Bytes of a datagram beside its counts, at the most. */
 const FRAME_BYTES = 200;
 
-type Wire = [string, string, number, number, (string | number)[], string[]];
+type Wire = [
+  nodeId: string,
+  incarnation: string,
+  round: number,
+  asOf: number,
+  storePath: StorePath,
+  counts: (string | number)[],
+  placed: string[],
+];
+
+const STORE_PATHS: readonly unknown[] = [
+  "open",
+  "lost",
+  "unknown",
+] satisfies StorePath[];
 
 /** Encodes a message, in several datagrams if it is long. */
 export function encodeLoadMessage(message: LoadMessage): Buffer[] {
-  const { nodeId, incarnation, round, asOf, counts, placed } = message;
+  const { nodeId, incarnation, round, asOf, storePath } = message;
+  const { counts, placed } = message;
   const loads = splitPairs([...counts].flat());
   const places = splitPairs(placed);
   const datagrams: Buffer[] = [];
@@ -34,6 +51,7 @@
       incarnation,
       round,
       asOf,
+      storePath,
       loads[at] ?? [],
       places[at] ?? [],
     ];
@@ -70,7 +88,7 @@
   if (!isWire(wire)) {
     return undefined;
   }
-  const [nodeId, incarnation, round, asOf, flat, placed] = wire;
+  const [nodeId, incarnation, round, asOf, storePath, flat, placed] = wire;
   const counts = new Map<string, number>();
   for (let at = 0; at + 1 < flat.length; at += 2) {
     counts.set(String(flat[at]), Math.max(0, Number(flat[at + 1]) || 0));
@@ -80,14 +98,16 @@
     incarnation,
     round,
     asOf,
+    storePath,
     counts,
     placed: placed.map(String),
   };
 }
 
 function isWire(value: unknown): value is Wire {
-  return Array.isArray(value) && value.length === 6 &&
+  return Array.isArray(value) && value.length === 7 &&
     typeof value[0] === "string" && typeof value[1] === "string" &&
     Number.isSafeInteger(value[2]) && Number.isSafeInteger(value[3]) &&
-    Array.isArray(value[4]) && Array.isArray(value[5]);
+    STORE_PATHS.includes(value[4]) &&
+    Array.isArray(value[5]) && Array.isArray(value[6]);
 }
--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -15,7 +15,7 @@
 }
 
 /** Longest time for an answer beside the waiting; many round trips. */
-const CALL_TIMEOUT_MS = CHANGES_WAIT_MS + 600;
+const CALL_TIMEOUT_MS = CHANGES_WAIT_MS + 300;
 
 /** Shared state as another node knows it. */
 export class PeerChangeSource extends ChangeSource {
--- a/packages/fleet/src/peer_directory.ts
+++ b/packages/fleet/src/peer_directory.ts
@@ -1,8 +1,10 @@
 import type { Clock } from "@limpetshed/base";
+import type { StorePath } from "./watch_duty.ts";
 
 /** Where a node can be reached. */
 export interface PeerAddress {
   id: string;
+  availabilityZone: string;
   /** `ip:port` for calls. */
   calls: string;
   /** `ip:port` for datagrams. */
@@ -15,6 +17,8 @@
   heardMs: number;
   /** Revision of the shared state that it knows. */
   asOf: number;
+  /** Its path to the store, as it last said. */
+  storePath: StorePath;
 }
 
 /** A node that has been silent for longer is not counted on, milliseconds;
@@ -41,6 +45,7 @@
       this.#peers.set(address.id, {
         heardMs: Number.NEGATIVE_INFINITY,
         asOf: 0,
+        storePath: "unknown",
         ...known,
         ...address,
       });
@@ -55,11 +60,15 @@
   }
 
   /** Notes a datagram from a node. */
-  heard(id: string, asOf: number): void {
+  heard(
+    id: string,
+    { asOf, storePath }: { asOf: number; storePath: StorePath },
+  ): void {
     const peer = this.#peers.get(id);
     if (peer !== undefined) {
       peer.heardMs = this.#clock.monotonicMs();
       peer.asOf = Math.max(peer.asOf, asOf);
+      peer.storePath = storePath;
     }
   }
 
@@ -73,11 +82,15 @@
     return [...this.#peers.values()];
   }
 
+  /** Nodes heard lately. */
+  live(): readonly Peer[] {
+    const oldest = this.#clock.monotonicMs() - SILENT_MS;
+    return this.all().filter(({ heardMs }) => heardMs >= oldest);
+  }
+
   /** The node heard lately that knows the newest shared state. */
   newest(): Peer | undefined {
-    const oldest = this.#clock.monotonicMs() - SILENT_MS;
-    return this.all()
-      .filter(({ heardMs }) => heardMs >= oldest)
+    return this.live()
       .reduce<Peer | undefined>(
         (best, peer) =>
           best === undefined || peer.asOf > best.asOf ? peer : best,
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -13,7 +13,7 @@
 export const CHANGES_PATH = "/changes";
 
 /** How long a caller that is up to date waits for news, milliseconds. */
-export const CHANGES_WAIT_MS = 300;
+export const CHANGES_WAIT_MS = 700;
 
 /** Answers other nodes that are behind. */
 export class PeerServer {
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -27,6 +27,7 @@
   #failures = 0;
   #isReachable = false;
   #lastSuccessMs = Number.NEGATIVE_INFINITY;
+  #lastFailureMs = Number.NEGATIVE_INFINITY;
   #lastOutageEndMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: MirrorFollowerOptions) {
@@ -50,6 +51,11 @@
     return this.#lastSuccessMs;
   }
 
+  /** Monotonic time of the last failure; negative infinity if none. */
+  get lastFailureMs(): number {
+    return this.#lastFailureMs;
+  }
+
   /** Monotonic time at which the source last answered after it had failed;
    * negative infinity if it never failed. */
   get lastOutageEndMs(): number {
@@ -67,6 +73,9 @@
     const { signal } = this.#stop;
     while (!signal.aborted) {
       if (!isWanted()) {
+        // Nothing is known of a source that is not asked.
+        this.#isReachable = false;
+        this.#failures = 0;
         await sleep(clock, idleMs, { signal });
         continue;
       }
@@ -111,6 +120,7 @@
 
   #failed(err: unknown): void {
     this.#failures += 1;
+    this.#lastFailureMs = this.#options.clock.monotonicMs();
     if (this.#isReachable || this.#failures === 1) {
       this.#isReachable = false;
       const { logger, source, mirror, clock } = this.#options;
