--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,7 +11,7 @@
     ],
   },
   {
-    files: ["{packages/*,platform}/{src,tests}/**/*.ts"],
+    files: ["{packages/*,platform}/{src,soak,tests}/**/*.ts"],
     extends: [tseslint.configs.recommendedTypeChecked],
     languageOptions: {
       parserOptions: {
