feat(dispatch): learn what endpoints hold after a restart

A node that starts asks a peer; where none knows, each endpoint's list is read by one node, which tells the others.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -44,3 +44,8 @@
 export { RetryAllowance, type RetryLimits } from "./retry_allowance.ts";
 export { SlidingCount } from "./sliding_count.ts";
 export { SuspicionList } from "./suspicion_list.ts";
+export {
+  type HolderRecovery,
+  type HolderRecoveryOptions,
+  recoverHolders,
+} from "./holder_recovery.ts";
--- a/packages/dispatch/src/prefix_holders.ts
+++ b/packages/dispatch/src/prefix_holders.ts
@@ -19,6 +19,8 @@
 
 /** Some 150 bytes each, so a few megabytes. */
 const MAX_PARTS = 20_000;
+/** Some 200 KB on the wire. */
+const MAX_SNAPSHOT = 5_000;
 /** Endpoints keep what they used in the last minute unless memory is short. */
 const HOLD_MS = 60_000;
 
@@ -59,11 +61,25 @@
     return news;
   }
 
+  /** What is known, the most recently used parts first; for nodes that start. */
+  snapshot(): HeldPart[] {
+    const held: HeldPart[] = [];
+    for (const partId of this.#parts.keys()) {
+      for (const endpoint of this.holders(partId)) {
+        held.push({ partId, endpoint });
+      }
+      if (held.length >= MAX_SNAPSHOT) {
+        break;
+      }
+    }
+    return held;
+  }
+
   /** Endpoints that hold the part. */
   holders(partId: string): ReadonlySet<string> {
     const oldest = this.#clock.monotonicMs() - this.#holdMs;
     const found = new Set<string>();
-    for (const [endpoint, usedMs] of this.#parts.get(partId) ?? []) {
+    for (const [endpoint, usedMs] of this.#parts.peek(partId) ?? []) {
       if (usedMs >= oldest) {
         found.add(endpoint);
       }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,7 +19,8 @@
   type PeerAddress,
   PeerDirectory,
 } from "./peer_directory.ts";
-export { PeerServer } from "./peer_server.ts";
+export { askPeer } from "./ask_peer.ts";
+export { PeerServer, PLACEMENTS_PATH } from "./peer_server.ts";
 export {
   chooseWatchers,
   type DutyCandidate,
--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -1,11 +1,11 @@
-import { type Clock, withTimeout } from "@limpetshed/base";
+import type { Clock } from "@limpetshed/base";
 import {
   type ChangeBatch,
   ChangeSource,
   type Snapshot,
 } from "@limpetshed/mirror";
-import { Client } from "undici";
-import { CHANGES_PATH, CHANGES_WAIT_MS } from "./peer_server.ts";
+import { askPeer } from "./ask_peer.ts";
+import { CHANGES_PATH } from "./peer_server.ts";
 
 /** Options of {@linkcode PeerChangeSource}. */
 export interface PeerChangeSourceOptions {
@@ -14,9 +14,6 @@
   choose: () => string | undefined;
 }
 
-/** Longest time for an answer beside the waiting; many round trips. */
-const CALL_TIMEOUT_MS = CHANGES_WAIT_MS + 300;
-
 /** Shared state as another node knows it. */
 export class PeerChangeSource extends ChangeSource {
   readonly name = "peers";
@@ -39,34 +36,12 @@
     if (address === undefined) {
       throw new Error("no other node is known");
     }
-    const client = new Client(`http://${address}`);
-    try {
-      return await withTimeout(
-        this.#options.clock,
-        ask(client, { revision, signal }),
-        {
-          ms: CALL_TIMEOUT_MS,
-          onTimeout: () => new Error(`no answer from ${address} in time`),
-        },
-      );
-    } finally {
-      client.destroy().catch(() => undefined);
-    }
-  }
-}
-
-async function ask(
-  client: Client,
-  { revision, signal }: { revision: number; signal: AbortSignal },
-): Promise<ChangeBatch | Snapshot> {
-  const { statusCode, body } = await client.request({
-    method: "GET",
-    path: `${CHANGES_PATH}?after=${revision}`,
-    signal,
-  });
-  const text = await body.text();
-  if (statusCode !== 200) {
-    throw new Error(`the node answered with status ${statusCode}`);
+    const path = `${CHANGES_PATH}?after=${revision}`;
+    const update = await askPeer(address, {
+      path,
+      clock: this.#options.clock,
+      signal,
+    });
+    return update as ChangeBatch | Snapshot;
   }
-  return JSON.parse(text) as ChangeBatch | Snapshot;
 }
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -15,11 +15,18 @@
 /** How long a caller that is up to date waits for news, milliseconds. */
 export const CHANGES_WAIT_MS = 700;
 
-/** Answers other nodes that are behind. */
+/** Path of the placements. */
+export const PLACEMENTS_PATH = "/placements";
+
+/** Answers other nodes that are behind or have just started. */
 export class PeerServer {
   readonly #server: http.Server;
 
-  constructor({ mirror }: { mirror: KeyMirror }) {
+  constructor({ mirror, placements }: {
+    mirror: KeyMirror;
+    /** Parts of prompts and the endpoints that hold them, in turn. */
+    placements: () => readonly string[];
+  }) {
     const router = createRouter();
     router.get(
       CHANGES_PATH,
@@ -37,6 +44,7 @@
         return mirror.changesAfter(after);
       }),
     );
+    router.get(PLACEMENTS_PATH, defineEventHandler(() => placements()));
     const app = createApp();
     app.use(router);
     this.#server = http.createServer(toNodeListener(app));
