feat(dispatch): avoid endpoints that answer slowly

An endpoint whose mean time to the head is over three times the median is avoided until it has been silent for 2.5 s; a time limit that passes without a head counts as a failure.

--- a/packages/dispatch/src/suspicion_list.ts
+++ b/packages/dispatch/src/suspicion_list.ts
@@ -13,11 +13,26 @@
 /** Outcomes before the share of failures is believed. */
 const MIN_OUTCOMES = 4;
 
+/** Weight of the newest time to the head of an answer in the mean. */
+const HEAD_WEIGHT = 0.25;
+/** Answers before the mean time is believed. */
+const MIN_HEADS = 3;
+/** Multiple of the median endpoint's mean time that counts as slow: above what
+ * reading a long prompt anew adds. */
+const SLOW_MULTIPLE = 3;
+/** Added to that multiple, milliseconds; a prompt of 12,000 tokens takes 75. */
+const SLOW_MARGIN_MS = 100;
+/** A slow endpoint is tried again after this time without an answer. */
+const SLOW_AVOID_MS = 2_500;
+
 interface Record {
   streak: number;
   avoidUntilMs: number;
   failedShare: number;
   outcomes: number;
+  headMs: number;
+  heads: number;
+  headAtMs: number;
 }
 
 /**
@@ -57,6 +72,15 @@
     this.#outcome(this.#record(endpoint), 1);
   }
 
+  /** Notes how long the head of an answer took, milliseconds. */
+  timed(endpoint: string, headMs: number): void {
+    const record = this.#record(endpoint);
+    const weight = record.heads === 0 ? 1 : HEAD_WEIGHT;
+    record.headMs += weight * (headMs - record.headMs);
+    record.heads += 1;
+    record.headAtMs = this.#clock.monotonicMs();
+  }
+
   /** Whether another endpoint of `endpoints` should be taken instead. */
   isSuspect(endpoint: string, endpoints: readonly string[]): boolean {
     const record = this.#records.get(endpoint);
@@ -66,8 +90,7 @@
     if (record.avoidUntilMs > this.#clock.monotonicMs()) {
       return true;
     }
-    return record.outcomes >= MIN_OUTCOMES &&
-      record.failedShare > this.#usualShare(endpoints) + SICK_EXCESS;
+    return this.#isSick(record, endpoints) || this.#isSlow(record, endpoints);
   }
 
   /** Forgets an endpoint that is gone. */
@@ -75,12 +98,31 @@
     this.#records.delete(endpoint);
   }
 
-  /** Median share of failures, so that a few sick endpoints do not hide. */
-  #usualShare(endpoints: readonly string[]): number {
-    const shares = endpoints
-      .map((endpoint) => this.#records.get(endpoint)?.failedShare ?? 0)
+  #isSick(record: Record, endpoints: readonly string[]): boolean {
+    const usual = this.#median(endpoints, ({ failedShare }) => failedShare);
+    return record.outcomes >= MIN_OUTCOMES &&
+      record.failedShare > usual + SICK_EXCESS;
+  }
+
+  #isSlow(record: Record, endpoints: readonly string[]): boolean {
+    const ageMs = this.#clock.monotonicMs() - record.headAtMs;
+    if (record.heads < MIN_HEADS || ageMs > SLOW_AVOID_MS) {
+      return false;
+    }
+    const usual = this.#median(endpoints, ({ headMs }) => headMs);
+    return record.headMs > SLOW_MULTIPLE * usual + SLOW_MARGIN_MS;
+  }
+
+  /** The median, so that a few sick endpoints do not hide each other. */
+  #median(
+    endpoints: readonly string[],
+    valueOf: (record: Record) => number,
+  ): number {
+    const values = endpoints
+      .map((endpoint) => this.#records.get(endpoint))
+      .map((record) => (record === undefined ? 0 : valueOf(record)))
       .sort((a, b) => a - b);
-    return shares[Math.floor((shares.length - 1) / 2)] ?? 0;
+    return values[Math.floor((values.length - 1) / 2)] ?? 0;
   }
 
   #avoid(record: Record): void {
@@ -99,7 +141,15 @@
   #record(endpoint: string): Record {
     let record = this.#records.get(endpoint);
     if (record === undefined) {
-      record = { streak: 0, avoidUntilMs: 0, failedShare: 0, outcomes: 0 };
+      record = {
+        streak: 0,
+        avoidUntilMs: 0,
+        failedShare: 0,
+        outcomes: 0,
+        headMs: 0,
+        heads: 0,
+        headAtMs: 0,
+      };
       this.#records.set(endpoint, record);
     }
     return record;
--- a/packages/dispatch/tests/suspicion_list_test.ts
+++ b/packages/dispatch/tests/suspicion_list_test.ts
@@ -59,4 +59,26 @@
     }
     expect(suspects()).to.deep.equal([]);
   });
+
+  it("avoids one that answers much more slowly than the others", async () => {
+    const { clock, suspicion, suspects } = list();
+    for (let at = 0; at < 4; at += 1) {
+      ENDPOINTS.forEach((key) => suspicion.timed(key, key === "e3" ? 480 : 60));
+    }
+    expect(suspects()).to.deep.equal(["e3"]);
+    await clock.advance(2_600);
+    expect(suspects()).to.deep.equal([]);
+    suspicion.timed("e3", 60);
+    suspicion.timed("e3", 60);
+    suspicion.timed("e3", 60);
+    expect(suspects()).to.deep.equal([]);
+  });
+
+  it("does not take long prompts for a slow endpoint", () => {
+    const { suspicion, suspects } = list();
+    for (let at = 0; at < 6; at += 1) {
+      ENDPOINTS.forEach((key) => suspicion.timed(key, key === "e1" ? 150 : 50));
+    }
+    expect(suspects()).to.deep.equal([]);
+  });
 });
--- a/packages/relay/src/call_relay.ts
+++ b/packages/relay/src/call_relay.ts
@@ -118,6 +118,7 @@
       urgency: undefined,
       repeatable: isRepeatable(call.route),
       now: () => clock.monotonicMs(),
+      onHead: (headMs) => this.#options.suspicion.timed(endpoint.key, headMs),
       wantsRepeat: () => this.#wantsRepeat(call, endpoint),
     });
     const result = await attempt.result;
@@ -156,6 +157,10 @@
     }
     call.mayHaveRun ||= mayHaveRun(outcome);
     if (call.signal.aborted) {
+      const reason = call.signal.reason as AbortReason;
+      if (reason === "time_over" && result.headMs === undefined) {
+        suspicion.failed(endpoint.key);
+      }
       return;
     }
     if (outcome === "not_sent" || outcome === "lost" || outcome === "broken") {
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -41,6 +41,8 @@
   repeatable: boolean;
   /** Monotonic time. */
   now: () => number;
+  /** Told how long the head of a usable answer took, milliseconds. */
+  onHead: (headMs: number) => void;
   /** Asked when an endpoint ran the request and failed. */
   wantsRepeat: () => boolean;
 }
@@ -106,6 +108,7 @@
       return;
     }
     this.#mode = "relaying";
+    this.#options.onHead(this.#options.now() - this.#sentMs);
     if (!this.#options.sink.isStarted) {
       const hop = hopHeaders(head.headers.connection);
       this.#options.sink.start(
