--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -101,9 +101,11 @@
   /** Leaves out suspects, unless all are. */
   #preferTrusted(endpoints: Endpoint[]): Endpoint[] {
     const keys = endpoints.map(({ key }) => key);
-    const trusted = endpoints.filter(({ key }) =>
-      !this.#options.suspicion.isSuspect(key, keys)
-    );
+    const suspects = this.#options.suspicion.suspects(keys);
+    if (suspects.size === 0) {
+      return endpoints;
+    }
+    const trusted = endpoints.filter(({ key }) => !suspects.has(key));
     return trusted.length > 0 ? trusted : endpoints;
   }
 }
--- a/packages/dispatch/src/suspicion_list.ts
+++ b/packages/dispatch/src/suspicion_list.ts
@@ -81,16 +81,27 @@
     record.headAtMs = this.#clock.monotonicMs();
   }
 
-  /** Whether another endpoint of `endpoints` should be taken instead. */
-  isSuspect(endpoint: string, endpoints: readonly string[]): boolean {
-    const record = this.#records.get(endpoint);
-    if (record === undefined) {
-      return false;
-    }
-    if (record.avoidUntilMs > this.#clock.monotonicMs()) {
-      return true;
-    }
-    return this.#isSick(record, endpoints) || this.#isSlow(record, endpoints);
+  /** Those of `endpoints` instead of which another should be taken. */
+  suspects(endpoints: readonly string[]): ReadonlySet<string> {
+    const now = this.#clock.monotonicMs();
+    const records = endpoints.map((key) => this.#records.get(key));
+    const usualShare = median(
+      records.map((record) => record?.failedShare ?? 0),
+    );
+    const usualHeadMs = median(records.map((record) => record?.headMs ?? 0));
+    const found = new Set<string>();
+    records.forEach((record, at) => {
+      if (
+        record !== undefined && (
+          record.avoidUntilMs > now ||
+          isSick(record, usualShare) ||
+          isSlow(record, { usualHeadMs, now })
+        )
+      ) {
+        found.add(endpoints[at]!);
+      }
+    });
+    return found;
   }
 
   /** Forgets an endpoint that is gone. */
@@ -98,33 +109,6 @@
     this.#records.delete(endpoint);
   }
 
-  #isSick(record: Record, endpoints: readonly string[]): boolean {
-    const usual = this.#median(endpoints, ({ failedShare }) => failedShare);
-    return record.outcomes >= MIN_OUTCOMES &&
-      record.failedShare > usual + SICK_EXCESS;
-  }
-
-  #isSlow(record: Record, endpoints: readonly string[]): boolean {
-    const ageMs = this.#clock.monotonicMs() - record.headAtMs;
-    if (record.heads < MIN_HEADS || ageMs > SLOW_AVOID_MS) {
-      return false;
-    }
-    const usual = this.#median(endpoints, ({ headMs }) => headMs);
-    return record.headMs > SLOW_MULTIPLE * usual + SLOW_MARGIN_MS;
-  }
-
-  /** The median, so that a few sick endpoints do not hide each other. */
-  #median(
-    endpoints: readonly string[],
-    valueOf: (record: Record) => number,
-  ): number {
-    const values = endpoints
-      .map((endpoint) => this.#records.get(endpoint))
-      .map((record) => (record === undefined ? 0 : valueOf(record)))
-      .sort((a, b) => a - b);
-    return values[Math.floor((values.length - 1) / 2)] ?? 0;
-  }
-
   #avoid(record: Record): void {
     const ms = Math.min(
       MAX_AVOID_MS,
@@ -155,3 +139,22 @@
     return record;
   }
 }
+
+function isSick(record: Record, usualShare: number): boolean {
+  return record.outcomes >= MIN_OUTCOMES &&
+    record.failedShare > usualShare + SICK_EXCESS;
+}
+
+function isSlow(
+  record: Record,
+  { usualHeadMs, now }: { usualHeadMs: number; now: number },
+): boolean {
+  return record.heads >= MIN_HEADS && now - record.headAtMs <= SLOW_AVOID_MS &&
+    record.headMs > SLOW_MULTIPLE * usualHeadMs + SLOW_MARGIN_MS;
+}
+
+/** The median, so that a few sick endpoints do not hide each other. */
+function median(values: number[]): number {
+  values.sort((a, b) => a - b);
+  return values[Math.floor((values.length - 1) / 2)] ?? 0;
+}
--- a/packages/dispatch/tests/suspicion_list_test.ts
+++ b/packages/dispatch/tests/suspicion_list_test.ts
@@ -8,8 +8,7 @@
 function list() {
   const clock = new ManualClock();
   const suspicion = new SuspicionList({ clock });
-  const suspects = () =>
-    ENDPOINTS.filter((key) => suspicion.isSuspect(key, ENDPOINTS));
+  const suspects = () => [...suspicion.suspects(ENDPOINTS)];
   return { clock, suspicion, suspects };
 }
 
