refactor(fleet_node): move every decision out of platform/

Cause: platform/ chose the node to follow, the watchers in force and when to learn placements. FleetNode, StateSources and PlacementRecovery now decide; platform/ translates. Behaviour stays.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,6 +7,7 @@
   type InvariantListener,
   onInvariantBroken,
 } from "./invariant.ts";
+export { listenOn, splitHostPort } from "./listen_on.ts";
 export { ManualClock } from "./manual_clock.ts";
 export { PausableClock } from "./pausable_clock.ts";
 export { repeat, type Repeating, type RepeatOptions } from "./repeat.ts";
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -1,6 +1,11 @@
 import { createSocket, type Socket } from "node:dgram";
 import type { Buffer } from "node:buffer";
-import { type Clock, repeat, type Repeating } from "@limpetshed/base";
+import {
+  type Clock,
+  repeat,
+  type Repeating,
+  splitHostPort,
+} from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
 import { decodeLoadMessage, encodeLoadMessage } from "./load_message.ts";
 import type { Peer, PeerDirectory } from "./peer_directory.ts";
@@ -67,7 +72,7 @@
 
   /** Starts telling and hearing at `ip:port`. */
   async listen(address: string): Promise<void> {
-    const { host, port } = split(address);
+    const { host, port } = splitHostPort(address);
     await new Promise<void>((resolve) =>
       this.#socket.bind(port, host, resolve)
     );
@@ -100,7 +105,7 @@
       placed: this.#placed.flat(),
     });
     for (const { datagrams: address } of this.#targets()) {
-      const { host, port } = split(address);
+      const { host, port } = splitHostPort(address);
       datagrams.forEach((data) => this.#socket.send(data, port, host));
     }
   }
@@ -135,8 +140,3 @@
     onPlaced(placed);
   }
 }
-
-function split(address: string): { host: string; port: number } {
-  const at = address.lastIndexOf(":");
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
--- /dev/null
+++ b/packages/fleet_node/src/state_sources.ts
@@ -0,0 +1,122 @@
+import type { Clock } from "@limpetshed/base";
+import {
+  chooseWatchers,
+  type DutyCandidate,
+  type PeerDirectory,
+  type StorePath,
+} from "@limpetshed/fleet";
+import { rendezvousRank, type Rng } from "@limpetshed/hashing";
+import type { KeyMirror, MirrorFollower } from "@limpetshed/mirror";
+
+/** Options of {@linkcode StateSources}. */
+export interface StateSourcesOptions {
+  clock: Clock;
+  rng: Rng;
+  nodeId: string;
+  availabilityZone: string;
+  /** Where this node answers calls of others, `ip:port`. */
+  ownAddress: string;
+  directory: PeerDirectory;
+  mirror: KeyMirror;
+  /** Addresses of a few nodes; may be stale. */
+  seeds: readonly string[];
+}
+
+/** A node that is behind for longer asks its peers; news from the store
+ * arrive at all nodes within some milliseconds. */
+const BEHIND_MS = 200;
+/** How long a failed path to the store counts as lost before it is tried
+ * again where other nodes have a path. */
+const LOST_PATH_MS = 5_000;
+
+/** Decides whether a node watches the store or follows another node. */
+export class StateSources {
+  readonly #options: StateSourcesOptions;
+  #seeds: readonly string[];
+  #store: MirrorFollower | undefined;
+  #behindSinceMs: number | undefined;
+
+  constructor(options: StateSourcesOptions) {
+    this.#options = options;
+    this.#seeds = options.seeds;
+  }
+
+  /** Sets the follower of the store, which is made after this. */
+  attach(store: MirrorFollower): void {
+    this.#store = store;
+  }
+
+  /** Takes other addresses to start from. */
+  setSeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
+  /** This node's path to the store. */
+  get storePath(): StorePath {
+    if (this.#store === undefined || this.#store.isReachable) {
+      return this.#store === undefined ? "unknown" : "open";
+    }
+    const sinceMs = this.#options.clock.monotonicMs() -
+      this.#store.lastFailureMs;
+    return sinceMs <= LOST_PATH_MS ? "lost" : "unknown";
+  }
+
+  /** Whether this node watches the store. */
+  get hasWatchDuty(): boolean {
+    const { mirror, nodeId } = this.#options;
+    return mirror.asOf === 0 || this.#watchers().includes(nodeId);
+  }
+
+  /** Whether this node learns of changes from other nodes. */
+  get needsPeers(): boolean {
+    if (!this.hasWatchDuty || this.storePath !== "open") {
+      return true;
+    }
+    const { clock, directory, mirror } = this.#options;
+    const newest = directory.newest()?.asOf ?? 0;
+    if (newest <= mirror.asOf) {
+      this.#behindSinceMs = undefined;
+      return false;
+    }
+    const now = clock.monotonicMs();
+    this.#behindSinceMs ??= now;
+    return now - this.#behindSinceMs >= BEHIND_MS;
+  }
+
+  /** Address of the node to ask for changes: one that knows more, else one
+   * that watches the store, a near one first. */
+  peerToAsk(): string | undefined {
+    const { directory, mirror, availabilityZone, rng } = this.#options;
+    const newest = directory.newest();
+    if (newest !== undefined && newest.asOf > mirror.asOf) {
+      return newest.calls;
+    }
+    const live = directory.live();
+    const watchers = this.#watchers();
+    const watching = live.filter(({ id }) => watchers.includes(id));
+    const near = watching.filter((peer) =>
+      peer.availabilityZone === availabilityZone
+    );
+    const known = [near, watching, live, directory.all()]
+      .find((peers) => peers.length > 0);
+    return known === undefined
+      ? rng.pick(
+        this.#seeds.filter((seed) => seed !== this.#options.ownAddress),
+      )
+      : rng.pick(known)?.calls;
+  }
+
+  /** Ids of the nodes that watch the store, as this node sees the fleet. */
+  #watchers(): string[] {
+    const { nodeId, availabilityZone, directory } = this.#options;
+    const self: DutyCandidate = {
+      id: nodeId,
+      availabilityZone,
+      storePath: this.storePath,
+    };
+    return chooseWatchers(
+      [self, ...directory.live()],
+      (ids) => rendezvousRank("watch", ids),
+    );
+  }
+}
--- a/packages/relay/src/call_relay.ts
+++ b/packages/relay/src/call_relay.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@limpetshed/base";
 import {
+  type Choice,
   type Endpoint,
   type EndpointChooser,
   isRepeatable,
@@ -95,16 +96,8 @@
     call: RelayCall,
     { sink, framer }: { sink: AnswerSink; framer: EventFramer | undefined },
   ): Promise<SendResult> {
-    const { chooser, serviceOf, board, pool, format, clock } = this.#options;
-    const spec = serviceOf(call.service);
-    const choice = spec === undefined
-      ? { refusal: "none_in_service" as const }
-      : chooser.choose({ spec, prompt: call.prompt, tried: call.tried });
-    if ("refusal" in choice) {
-      this.#options.observer.notPlaced(call, choice.refusal);
-      throw placeError(call, choice.refusal);
-    }
-    const { endpoint, copyFrom, candidates } = choice;
+    const { board, pool, format, clock } = this.#options;
+    const { endpoint, copyFrom, candidates } = this.#place(call);
     const load = board.total(endpoint.key);
     const attempt = new SendAttempt({
       call,
@@ -115,7 +108,6 @@
       board,
       format,
       framer,
-      urgency: undefined,
       repeatable: isRepeatable(call.route),
       now: () => clock.monotonicMs(),
       onHead: (headMs) => this.#options.suspicion.timed(endpoint.key, headMs),
@@ -134,6 +126,19 @@
     return result;
   }
 
+  #place(call: RelayCall): Exclude<Choice, { refusal: NoChoice }> {
+    const { chooser, serviceOf, observer } = this.#options;
+    const spec = serviceOf(call.service);
+    const choice: Choice = spec === undefined
+      ? { refusal: "none_in_service" }
+      : chooser.choose({ spec, prompt: call.prompt, tried: call.tried });
+    if ("refusal" in choice) {
+      observer.notPlaced(call, choice.refusal);
+      throw placeError(call, choice.refusal);
+    }
+    return choice;
+  }
+
   /** Whether a failure is to be tried elsewhere instead of relayed. */
   #wantsRepeat(call: RelayCall, { key }: Endpoint): boolean {
     const counts = { ...call.counts, sends: call.counts.sends + 1 };
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -1,7 +1,7 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import * as net from "node:net";
-import type { Clock } from "@limpetshed/base";
+import { type Clock, splitHostPort } from "@limpetshed/base";
 import { Client, type Dispatcher } from "undici";
 
 /** A request as it goes to an endpoint. */
@@ -134,10 +134,8 @@
 
   #open(done: (...args: [null, net.Socket] | [Error, null]) => void): void {
     const { address, connectTimeoutMs, clock } = this.#options;
-    const at = address.lastIndexOf(":");
     const socket = net.connect({
-      host: address.slice(0, at),
-      port: Number(address.slice(at + 1)),
+      ...splitHostPort(address),
       noDelay: true,
       keepAlive: true,
       keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
--- a/packages/relay/src/front_server.ts
+++ b/packages/relay/src/front_server.ts
@@ -1,6 +1,5 @@
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
-import type { Clock } from "@limpetshed/base";
+import { type Clock, listenOn } from "@limpetshed/base";
 import { RouterError, toRouterError } from "@limpetshed/errors";
 import {
   type CallerLimits,
@@ -14,7 +13,7 @@
 import { AnswerSink } from "./answer_sink.ts";
 import type { CallRelay } from "./call_relay.ts";
 import { readBody } from "./read_body.ts";
-import type { AbortReason, RelayCall } from "./relay_call.ts";
+import { type AbortReason, newProgress, type RelayCall } from "./relay_call.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import type { StopPlan } from "./stop_plan.ts";
 import type { CallFacts, WireFormat } from "./wire_format.ts";
@@ -73,14 +72,8 @@
   }
 
   /** Starts listening on `ip:port`; returns the actual address. */
-  async listen(address: string): Promise<string> {
-    const at = address.lastIndexOf(":");
-    const host = address.slice(0, at);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(Number(address.slice(at + 1)), host, resolve);
-    });
-    return `${host}:${(this.#server.address() as AddressInfo).port}`;
+  listen(address: string): Promise<string> {
+    return listenOn(this.#server, address);
   }
 
   /** Accepts no more connections and closes those without a call. */
@@ -128,7 +121,7 @@
       facts: CallFacts;
     },
   ): Promise<void> {
-    const { clock, config, observer } = this.#options;
+    const { clock, observer } = this.#options;
     const arrivedMs = clock.monotonicMs();
     const stop = new AbortController();
     const abort = (reason: AbortReason) => stop.abort(reason);
@@ -140,55 +133,61 @@
     res.once("close", onClose);
     let call: RelayCall | undefined;
     try {
-      const table = config.table;
-      if (table === undefined) {
-        throw notReady(arrivedMs - this.#startedMs);
-      }
-      checkHeaderSize(req, table.limits);
-      const route = findRoute(req, table);
-      const account = findAccount(facts, { route, table });
-      if (!this.#options.plan.takes(route)) {
-        throw stopping();
-      }
-      const maxBytes = table.limits.maxBodyBytes;
-      const body = await readBody(req, { maxBytes });
-      call = {
-        requestId: facts.requestId ?? "",
-        method: req.method ?? "GET",
-        path: req.url ?? "/",
-        rawHeaders: req.rawHeaders,
-        connectionHeader: req.headers.connection,
-        body,
-        route,
-        service: pickTarget(route.targets, this.#options.fraction()) ?? "",
-        configVersion: table.version,
-        account: account?.name,
-        priority: account?.priority ?? route.priority,
-        prompt: facts.prompt,
-        arrivedMs,
-        endsMs: arrivedMs +
-          Math.min(route.timeoutMs, facts.patienceMs ?? route.timeoutMs),
-        counts: { sends: 0, unsent: 0 },
-        tried: new Set(),
-        arrivals: 0,
-        mayHaveRun: false,
-        signal: stop.signal,
-      };
+      const { signal } = stop;
+      call = await this.#admit(req, { facts, arrivedMs, signal });
       await this.#relay(call, { sink, abort });
       observer.answered(call, clock.monotonicMs() - arrivedMs);
     } catch (thrown) {
       const err = toRouterError(thrown);
-      observer.failed(err, {
-        call,
-        requestId: facts.requestId,
-        brokenOff: sink.isStarted,
-      });
+      const { requestId } = facts;
+      observer.failed(err, { call, requestId, brokenOff: sink.isStarted });
       throw err;
     } finally {
       res.off("close", onClose);
     }
   }
 
+  /** Reads a request that the configuration and this node allow. */
+  async #admit(
+    req: http.IncomingMessage,
+    { facts, arrivedMs, signal }: {
+      facts: CallFacts;
+      arrivedMs: number;
+      signal: AbortSignal;
+    },
+  ): Promise<RelayCall> {
+    const { config, plan, fraction } = this.#options;
+    const { table } = config;
+    if (table === undefined) {
+      throw notReady(arrivedMs - this.#startedMs);
+    }
+    checkHeaderSize(req, table.limits);
+    const route = findRoute(req, table);
+    const account = findAccount(facts, { route, table });
+    if (!plan.takes(route)) {
+      throw stopping();
+    }
+    const body = await readBody(req, { maxBytes: table.limits.maxBodyBytes });
+    return {
+      requestId: facts.requestId ?? "",
+      method: req.method ?? "GET",
+      path: req.url ?? "/",
+      rawHeaders: req.rawHeaders,
+      connectionHeader: req.headers.connection,
+      body,
+      route,
+      service: pickTarget(route.targets, fraction()) ?? "",
+      configVersion: table.version,
+      account: account?.name,
+      prompt: facts.prompt,
+      arrivedMs,
+      endsMs: arrivedMs +
+        Math.min(route.timeoutMs, facts.patienceMs ?? route.timeoutMs),
+      ...newProgress(),
+      signal,
+    };
+  }
+
   async #relay(
     call: RelayCall,
     { sink, abort }: {
--- a/packages/relay/src/metrics_server.ts
+++ b/packages/relay/src/metrics_server.ts
@@ -1,4 +1,5 @@
 import * as http from "node:http";
+import { listenOn } from "@limpetshed/base";
 import type { RelayMetrics } from "@limpetshed/observe";
 import {
   createApp,
@@ -36,12 +37,7 @@
 
   /** Starts listening on `ip:port`. */
   async listen(address: string): Promise<void> {
-    const at = address.lastIndexOf(":");
-    const port = Number(address.slice(at + 1));
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, address.slice(0, at), resolve);
-    });
+    await listenOn(this.#server, address);
   }
 
   /** Stops listening. */
--- a/packages/relay/src/readiness_server.ts
+++ b/packages/relay/src/readiness_server.ts
@@ -1,4 +1,5 @@
 import * as http from "node:http";
+import { listenOn } from "@limpetshed/base";
 
 /** Options of {@linkcode ReadinessServer}. */
 export interface ReadinessServerOptions {
@@ -21,15 +22,7 @@
 
   /** Starts listening on `ip:port`. */
   async listen(address: string): Promise<void> {
-    const at = address.lastIndexOf(":");
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(
-        Number(address.slice(at + 1)),
-        address.slice(0, at),
-        resolve,
-      );
-    });
+    await listenOn(this.#server, address);
   }
 
   /** Stops listening. */
--- a/packages/relay/src/relay_call.ts
+++ b/packages/relay/src/relay_call.ts
@@ -2,8 +2,19 @@
 import type { AttemptCounts, PromptFacts } from "@limpetshed/dispatch";
 import type { Route } from "@limpetshed/routing";
 
+/** What a request has met so far. */
+export interface CallProgress {
+  counts: AttemptCounts;
+  /** Endpoints that it has been sent to. */
+  tried: Set<string>;
+  /** Sends that reached an endpoint. */
+  arrivals: number;
+  /** Whether an endpoint may have run it. */
+  mayHaveRun: boolean;
+}
+
 /** One request of a caller on its way through this node. */
-export interface RelayCall {
+export interface RelayCall extends CallProgress {
   requestId: string;
   method: string;
   /** Path and query as the caller sent them. */
@@ -18,22 +29,24 @@
   /** Version of the configuration that routed it. */
   configVersion: number;
   account: string | undefined;
-  priority: number;
   prompt: PromptFacts | undefined;
   /** Monotonic time of its arrival. */
   arrivedMs: number;
   /** Monotonic time by which it must be answered. */
   endsMs: number;
-  counts: AttemptCounts;
-  /** Endpoints that it has been sent to. */
-  tried: Set<string>;
-  /** Sends that reached an endpoint. */
-  arrivals: number;
-  /** Whether an endpoint may have run it. */
-  mayHaveRun: boolean;
   /** Aborts when the caller has left or the time is over. */
   signal: AbortSignal;
 }
 
 /** Why a call's signal aborted. */
 export type AbortReason = "caller_gone" | "time_over";
+
+/** The progress of a request that has not been sent. */
+export function newProgress(): CallProgress {
+  return {
+    counts: { sends: 0, unsent: 0 },
+    tried: new Set(),
+    arrivals: 0,
+    mayHaveRun: false,
+  };
+}
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -2,6 +2,7 @@
 import {
   type ColdLimits,
   ColdStartGate,
+  type Endpoint,
   EndpointChooser,
   type EndpointPolicy,
   EndpointRegistry,
@@ -59,71 +60,36 @@
   readonly holders: PrefixHolders;
   readonly #options: RelayNodeOptions;
   readonly #pool: ConnectionPool;
+  readonly #suspicion: SuspicionList;
+  readonly #coldGate: ColdStartGate;
   readonly #front: FrontServer;
   readonly #ready: ReadinessServer;
   readonly #plan: StopPlan;
 
   constructor(options: RelayNodeOptions) {
     this.#options = options;
-    const { clock, format, observer, nodeIds } = options;
+    const { clock } = options;
     this.#plan = new StopPlan({ clock });
     this.board = new LoadBoard({ clock });
     this.holders = new PrefixHolders({ clock });
     this.#pool = new ConnectionPool({ clock });
-    const suspicion = new SuspicionList({ clock });
-    const coldGate = new ColdStartGate({
+    this.#suspicion = new SuspicionList({ clock });
+    this.#coldGate = new ColdStartGate({
       clock,
       limits: options.coldLimits,
       nodeId: options.nodeId,
-      nodeIds,
+      nodeIds: options.nodeIds,
     });
     this.registry = new EndpointRegistry({
       clock,
-      onDrop: ({ key, entry }) => {
-        suspicion.forget(key);
-        coldGate.forget(key);
-        this.board.forget(key);
-        this.#pool.forget(entry.address);
-      },
-    });
-    const allowance = new RetryAllowance({
-      clock,
-      limits: options.retryLimits,
-      nodes: () => nodeIds().length,
-    });
-    const chooser = new EndpointChooser({
-      clock,
-      registry: this.registry,
-      policy: options.makePolicy({
-        board: this.board,
-        holders: this.holders,
-        registry: this.registry,
-      }),
-      coldGate,
-      suspicion,
-      isConnectionLimitReached: (address, { maxConnections }) =>
-        this.#pool.openCount(address) >= Math.max(
-          1,
-          Math.floor(CONNECTION_PART * maxConnections / nodeIds().length),
-        ),
-    });
-    const relay = new CallRelay({
-      clock,
-      chooser,
-      board: this.board,
-      suspicion,
-      allowance,
-      pool: this.#pool,
-      format,
-      observer,
-      serviceOf: (name) => this.config.table?.service(name),
+      onDrop: (endpoint) => this.#forget(endpoint),
     });
     this.#front = new FrontServer({
       clock,
       config: this.config,
-      format,
-      relay,
-      observer,
+      format: options.format,
+      relay: this.#makeRelay(),
+      observer: options.observer,
       plan: this.#plan,
       fraction: options.fraction,
     });
@@ -187,4 +153,46 @@
     this.#ready.close();
     this.#pool.close();
   }
+
+  #makeRelay(): CallRelay {
+    const { clock, format, observer, nodeIds, retryLimits } = this.#options;
+    return new CallRelay({
+      clock,
+      chooser: this.#makeChooser(),
+      board: this.board,
+      suspicion: this.#suspicion,
+      allowance: new RetryAllowance({
+        clock,
+        limits: retryLimits,
+        nodes: () => nodeIds().length,
+      }),
+      pool: this.#pool,
+      format,
+      observer,
+      serviceOf: (name) => this.config.table?.service(name),
+    });
+  }
+
+  #makeChooser(): EndpointChooser {
+    const { clock, makePolicy, nodeIds } = this.#options;
+    const { board, holders, registry } = this;
+    return new EndpointChooser({
+      clock,
+      registry,
+      policy: makePolicy({ board, holders, registry }),
+      coldGate: this.#coldGate,
+      suspicion: this.#suspicion,
+      isConnectionLimitReached: (address, { maxConnections }) => {
+        const share = CONNECTION_PART * maxConnections / nodeIds().length;
+        return this.#pool.openCount(address) >= Math.max(1, Math.floor(share));
+      },
+    });
+  }
+
+  #forget({ key, entry }: Endpoint): void {
+    this.#suspicion.forget(key);
+    this.#coldGate.forget(key);
+    this.board.forget(key);
+    this.#pool.forget(entry.address);
+  }
 }
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -36,7 +36,6 @@
   format: WireFormat;
   /** Holds back unfinished events of a stream that may be resumed. */
   framer: EventFramer | undefined;
-  urgency: number | undefined;
   /** Whether connections must be fresh, since the call must not run twice. */
   repeatable: boolean;
   /** Monotonic time. */
@@ -206,12 +205,11 @@
   }
 
   #headers(): string[] {
-    const { call, format, endpoint, urgency, framer, now } = this.#options;
+    const { call, format, endpoint, framer, now } = this.#options;
     const send = {
       timeLeftMs: Math.max(1, Math.floor(call.endsMs - now())),
       endpointId: endpoint.entry.id,
       account: call.account,
-      urgency,
       copyFrom: this.#options.copyFrom?.entry.address,
       lastEventId: framer?.lastEventId,
     };
--- a/packages/relay/src/wire_format.ts
+++ b/packages/relay/src/wire_format.ts
@@ -21,8 +21,6 @@
   /** Only this start of an endpoint may run the request. */
   endpointId: string;
   account: string | undefined;
-  /** 0 is most urgent, 9 least; undefined leaves it to the endpoint. */
-  urgency: number | undefined;
   /** Address of an endpoint to copy known parts of the prompt from. */
   copyFrom: string | undefined;
   /** Goes on after this event; undefined keeps what the caller sent. */
