test(platform): a node that the store refuses; parts that nothing used are gone

Cause: no test showed that a node learns a configuration and a zone out from its peers while the store refuses it. It fails when peers are not asked. Ruled out: nothing else changes at run time.

--- a/packages/dispatch/src/attempt_policy.ts
+++ b/packages/dispatch/src/attempt_policy.ts
@@ -61,9 +61,3 @@
       return isRepeatable(route) && counts.sends < route.maxAttempts;
   }
 }
-
-/** Whether a send that ended so reached an endpoint and so is counted by the
- * fleet's limit on repeats. */
-export function countsAsArrival(outcome: SendOutcome): boolean {
-  return outcome !== "not_sent";
-}
--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -100,11 +100,6 @@
     this.#changed();
   }
 
-  /** Whether operators have taken the zone out. */
-  isZoneOut(zone: string): boolean {
-    return this.#zonesOut.has(zone);
-  }
-
   /** The endpoint of that id. */
   get(id: string): Endpoint | undefined {
     return this.#byId.get(id);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,7 +1,6 @@
 /** Decisions on where a request goes and whether it is sent again. */
 export {
   type AttemptCounts,
-  countsAsArrival,
   isRepeatable,
   mayTryAgain,
   type SendOutcome,
--- a/packages/dispatch/tests/attempt_policy_test.ts
+++ b/packages/dispatch/tests/attempt_policy_test.ts
@@ -11,7 +11,6 @@
     kind,
     resumable,
     timeoutMs: 1_000,
-    targetLatencyMs: 100,
     priority: 0,
     maxAttempts,
     isPublic: false,
--- a/packages/dispatch/tests/fixtures.ts
+++ b/packages/dispatch/tests/fixtures.ts
@@ -29,7 +29,6 @@
   return {
     name: "model",
     maxConnections: 600,
-    coldStartMs: 3_000,
     coldRequestsPerS: 24,
     cacheTokens: 900_000,
     ...fields,
--- /dev/null
+++ b/packages/fleet_node/tests/state_sources_test.ts
@@ -0,0 +1,96 @@
+import { ManualClock } from "@limpetshed/base";
+import { PeerDirectory, type StorePath } from "@limpetshed/fleet";
+import { initHashing, Rng } from "@limpetshed/hashing";
+import { KeyMirror, type MirrorFollower } from "@limpetshed/mirror";
+import { expect } from "chai";
+import { before, describe, it } from "mocha";
+import { StateSources } from "../src/state_sources.ts";
+
+const PEERS = ["n1", "n2", "n3", "n4"];
+
+function setUp({ zones = "aaaa" }: { zones?: string } = {}) {
+  const clock = new ManualClock();
+  const directory = new PeerDirectory({ clock, selfId: "n0" });
+  const mirror = new KeyMirror();
+  const follower = {
+    isReachable: true,
+    lastFailureMs: Number.NEGATIVE_INFINITY,
+  };
+  const sources = new StateSources({
+    clock,
+    rng: new Rng(1),
+    nodeId: "n0",
+    availabilityZone: "a",
+    ownAddress: "n0:1",
+    directory,
+    mirror,
+    seeds: ["n0:1", "n9:1"],
+  });
+  sources.attach(follower as unknown as MirrorFollower);
+  const hear = (asOf: number, storePath: StorePath = "open") =>
+    PEERS.forEach((id, at) => {
+      directory.put({
+        id,
+        availabilityZone: zones[at]!,
+        calls: `${id}:1`,
+        datagrams: `${id}:2`,
+      });
+      directory.heard(id, { asOf, storePath });
+    });
+  const know = (asOf: number) =>
+    mirror.apply({ kind: "snapshot", entries: [], asOf });
+  return { clock, directory, mirror, follower, sources, hear, know };
+}
+
+describe("StateSources", () => {
+  before(() => initHashing());
+
+  it("asks the store, and the seeds, when nothing is known", () => {
+    const { sources } = setUp();
+    expect(sources.hasWatchDuty).to.equal(true);
+    expect(sources.peerToAsk()).to.equal("n9:1");
+  });
+
+  it("watches the store alone in its zone", () => {
+    const { sources, hear, know } = setUp({ zones: "bbbb" });
+    know(5);
+    hear(5);
+    expect(sources.hasWatchDuty).to.equal(true);
+    expect(sources.needsPeers).to.equal(false);
+  });
+
+  it("leaves the watch to others where the store refuses it", async () => {
+    const { clock, sources, follower, hear, know } = setUp({ zones: "abbb" });
+    know(5);
+    await clock.advance(1_000);
+    follower.isReachable = false;
+    follower.lastFailureMs = 1_000;
+    hear(5);
+    expect(sources.storePath).to.equal("lost");
+    expect(sources.hasWatchDuty).to.equal(false);
+    expect(sources.needsPeers).to.equal(true);
+    await clock.advance(5_001);
+    expect(sources.storePath).to.equal("unknown");
+  });
+
+  it("asks a peer that knows more, after a moment", async () => {
+    const { clock, sources, hear, know } = setUp({ zones: "bbbb" });
+    know(5);
+    hear(9);
+    expect(sources.needsPeers).to.equal(false);
+    await clock.advance(200);
+    expect(sources.needsPeers).to.equal(true);
+    expect(PEERS.map((id) => `${id}:1`)).to.include(sources.peerToAsk());
+  });
+
+  it("prefers a watcher of its own zone", async () => {
+    const { clock, sources, follower, hear, know } = setUp({ zones: "abcd" });
+    know(5);
+    await clock.advance(1_000);
+    follower.isReachable = false;
+    follower.lastFailureMs = 1_000;
+    hear(5);
+    expect(sources.hasWatchDuty).to.equal(false);
+    expect(sources.peerToAsk()).to.equal("n1:1");
+  });
+});
--- a/packages/mirror/src/key_mirror.ts
+++ b/packages/mirror/src/key_mirror.ts
@@ -1,10 +1,7 @@
 import type { ChangeBatch, KeyChange, Snapshot } from "./change_source.ts";
 
 /** Receives each change that the mirror took over. */
-export type MirrorListener = (
-  change: KeyChange,
-  context: { fromSnapshot: boolean },
-) => void;
+export type MirrorListener = (change: KeyChange) => void;
 
 /** Changes kept for nodes that follow this one. */
 const MAX_KEPT_CHANGES = 2_000;
@@ -43,7 +40,7 @@
       // A change the mirror has passed already must not undo a later one.
       update.changes
         .filter(({ revision }) => revision > this.#asOf)
-        .forEach((change) => this.#take(change, false));
+        .forEach((change) => this.#take(change));
     }
     this.#asOf = update.asOf;
     [...this.#waiting].forEach((wake) => wake());
@@ -79,15 +76,15 @@
     const present = new Set(entries.map(({ key }) => key));
     for (const key of [...this.#entries.keys()]) {
       if (!present.has(key)) {
-        this.#take({ key, value: undefined, revision: asOf }, true);
+        this.#take({ key, value: undefined, revision: asOf });
       }
     }
-    entries.forEach((entry) => this.#take(entry, true));
+    entries.forEach((entry) => this.#take(entry));
     this.#forgotten = asOf;
     this.#recent.length = 0;
   }
 
-  #take(change: KeyChange, fromSnapshot: boolean): void {
+  #take(change: KeyChange): void {
     const known = this.#entries.get(change.key);
     if (change.revision <= (known?.revision ?? 0)) {
       return;
@@ -102,7 +99,7 @@
       this.#forgotten = this.#recent.shift()!.revision;
     }
     for (const listener of this.#listeners) {
-      listener(change, { fromSnapshot });
+      listener(change);
     }
   }
 }
--- a/packages/relay/src/answer_sink.ts
+++ b/packages/relay/src/answer_sink.ts
@@ -13,7 +13,6 @@
 export class AnswerSink {
   readonly #res: ServerResponse;
   readonly #isStopping: () => boolean;
-  #bytes = 0;
 
   constructor({ res, isStopping }: AnswerSinkOptions) {
     this.#res = res;
@@ -31,11 +30,6 @@
     return !this.#res.destroyed && !this.#res.writableEnded;
   }
 
-  /** Bytes of the body written so far. */
-  get bytes(): number {
-    return this.#bytes;
-  }
-
   /** Sends the head of an endpoint's answer. */
   start(status: number, headers: string[]): void {
     if (this.#isStopping()) {
@@ -47,7 +41,6 @@
 
   /** Sends bytes; returns false when the caller reads too slowly. */
   write(chunk: Buffer): boolean {
-    this.#bytes += chunk.length;
     return this.#res.write(chunk);
   }
 
--- a/packages/relay/src/wire_format.ts
+++ b/packages/relay/src/wire_format.ts
@@ -9,8 +9,6 @@
   patienceMs: number | undefined;
   /** The key that names the client account. */
   key: string | undefined;
-  /** Last event that the caller has of a stream it resumes. */
-  lastEventId: string | undefined;
   prompt: PromptFacts | undefined;
 }
 
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -165,7 +165,6 @@
         kind,
         resumable,
         timeoutMs,
-        targetLatencyMs: 100,
         priority: 0,
         maxAttempts: 2,
         isPublic: false,
@@ -174,7 +173,6 @@
       services: [{
         name: "s",
         maxConnections: 100,
-        coldStartMs: 0,
         coldRequestsPerS: 0,
         cacheTokens: 0,
       }],
--- a/packages/relay/tests/test_wire_format.ts
+++ b/packages/relay/tests/test_wire_format.ts
@@ -14,7 +14,6 @@
       requestId: text(headers["x-id"]),
       patienceMs: patience === undefined ? undefined : Number(patience),
       key: text(headers.authorization),
-      lastEventId: text(headers["last-event-id"]),
       prompt: undefined,
     };
   }
--- a/packages/routing/src/routing_config.ts
+++ b/packages/routing/src/routing_config.ts
@@ -21,8 +21,6 @@
   resumable: boolean;
   /** Longest time a caller may be kept, milliseconds. */
   timeoutMs: number;
-  /** Time within which an answer earns its full worth, milliseconds. */
-  targetLatencyMs: number;
   /** Rank, 0 is most urgent. */
   priority: number;
   /** Most endpoints that one request may be sent to. */
@@ -37,8 +35,6 @@
   name: string;
   /** Connections that one endpoint accepts from all nodes together. */
   maxConnections: number;
-  /** How long an endpoint stays cold after its start, milliseconds. */
-  coldStartMs: number;
   /** Requests a second that a cold endpoint bears; 0 for no limit. */
   coldRequestsPerS: number;
   /** Tokens an endpoint's cache and runs may hold; 0 for plain services. */
--- a/packages/routing/tests/route_table_test.ts
+++ b/packages/routing/tests/route_table_test.ts
@@ -13,7 +13,6 @@
     kind: "safe",
     resumable: false,
     timeoutMs: 1_000,
-    targetLatencyMs: 100,
     priority: 0,
     maxAttempts: 1,
     isPublic: false,
