--- a/packages/dispatch/tests/attempt_policy_test.ts
+++ b/packages/dispatch/tests/attempt_policy_test.ts
@@ -49,9 +49,13 @@
   });
 
   it("repeats safe calls and resumable streams within the route's limit", () => {
-    for (const  of of[route("safe", 2), route("stream", 2, true)]) {
-      expect(allowed(of)).to.include.members(["failed", "lost", "broken"]);
-      expect(allowed(of, 2)).to.deep.equal(["not_sent", "misdirected"]);
+    for (const repeatable of [route("safe", 2), route("stream", 2, true)]) {
+      expect(allowed(repeatable)).to.include.members([
+        "failed",
+        "lost",
+        "broken",
+      ]);
+      expect(allowed(repeatable, 2)).to.deep.equal(["not_sent", "misdirected"]);
     }
   });
 
