--- a/packages/relay/src/call_relay.ts
+++ b/packages/relay/src/call_relay.ts
@@ -139,7 +139,8 @@
     return choice;
   }
 
-  /** Whether a failure is to be tried elsewhere instead of relayed. */
+  /** Notes a failure of the endpoint; whether the call is to be tried elsewhere
+   * instead of relaying it. */
   #wantsRepeat(call: RelayCall, { key }: Endpoint): boolean {
     const counts = { ...call.counts, sends: call.counts.sends + 1 };
     const { suspicion, allowance } = this.#options;
