refactor: one piece of code for addresses, listening, small servers and hop headers

Cause: the relay had written again what the project had. splitHostPort and listenOn now serve the peer and node packages too (splitAddress is gone); HttpService is the listen and close of three small servers; HOP_HEADERS is one list; SendAttempt uses deferred; ranking endpoints stands in its own file; sums of peers' loads are worked out when asked, not at each datagram; two classes called FleetNode are now FleetNode and FleetRelay.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -7,6 +7,8 @@
   type InvariantListener,
   onInvariantBroken,
 } from "./invariant.ts";
+export { HOP_HEADERS } from "./hop_headers.ts";
+export { HttpService } from "./http_service.ts";
 export { listenOn, splitHostPort } from "./listen_on.ts";
 export { ManualClock } from "./manual_clock.ts";
 export { PausableClock } from "./pausable_clock.ts";
--- a/packages/base/src/listen_on.ts
+++ b/packages/base/src/listen_on.ts
@@ -1,11 +1,12 @@
 import type { AddressInfo, Server } from "node:net";
 
-/** Splits `ip:port`. */
+/** Splits `ip:port`; an IPv6 address stands in brackets. */
 export function splitHostPort(
   address: string,
 ): { host: string; port: number } {
   const at = address.lastIndexOf(":");
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+  const host = address.slice(0, at).replace(/^\[|\]$/g, "");
+  return { host, port: Number(address.slice(at + 1)) };
 }
 
 /** Makes `server` listen on `ip:port`; resolves to the actual address. */
--- a/packages/dispatch/src/baseline_policies.ts
+++ b/packages/dispatch/src/baseline_policies.ts
@@ -1,10 +1,9 @@
-import { rendezvousRank } from "@limpetshed/hashing";
-import type { Endpoint } from "./endpoint_registry.ts";
 import {
   EndpointPolicy,
   type Placement,
   type PolicyRequest,
 } from "./endpoint_policy.ts";
+import { rankEndpoints } from "./rank_endpoints.ts";
 
 /** Baseline: the fewest requests in flight, blind to prompts. */
 export class LeastLoadedPolicy extends EndpointPolicy {
@@ -54,12 +53,3 @@
     return { endpoint: endpoint ?? this.leastLoaded(candidates) };
   }
 }
-
-/** Ranks endpoints for a hash key, best first. */
-export function rankEndpoints(
-  key: string,
-  endpoints: readonly Endpoint[],
-): Endpoint[] {
-  const byKey = new Map(endpoints.map((endpoint) => [endpoint.key, endpoint]));
-  return rendezvousRank(key, [...byKey.keys()]).map((id) => byKey.get(id)!);
-}
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -9,7 +9,6 @@
   AffinityPolicy,
   LastSharedPolicy,
   LeastLoadedPolicy,
-  rankEndpoints,
 } from "./baseline_policies.ts";
 export { type ColdLimits, ColdStartGate } from "./cold_start_gate.ts";
 export {
--- a/packages/dispatch/src/load_board.ts
+++ b/packages/dispatch/src/load_board.ts
@@ -23,7 +23,8 @@
     string,
     { counts: Map<string, number>; atMs: number }
   >();
-  #peerTotals = new Map<string, number>();
+  /** Sums over the other nodes; undefined since one of them changed. */
+  #peerTotals: Map<string, number> | undefined;
 
   constructor({ clock }: { clock: Clock }) {
     this.#clock = clock;
@@ -50,7 +51,7 @@
   /** Takes the requests in flight of another node, by endpoint. */
   setPeer(node: string, counts: Map<string, number>): void {
     this.#peers.set(node, { counts, atMs: this.#clock.monotonicMs() });
-    this.#sumPeers();
+    this.#peerTotals = undefined;
   }
 
   /** Requests of this node in flight, by endpoint, without zeroes. */
@@ -72,7 +73,7 @@
   /** Requests of all nodes in flight at `endpoint`, as far as known. */
   total(endpoint: string): number {
     const load = this.#loads.get(endpoint);
-    const told = this.#peerTotals.get(endpoint) ?? 0;
+    const told = this.#totalsOfPeers().get(endpoint) ?? 0;
     if (load === undefined) {
       return told;
     }
@@ -95,12 +96,15 @@
     for (const [node, { atMs }] of this.#peers) {
       if (atMs < oldest) {
         this.#peers.delete(node);
+        this.#peerTotals = undefined;
       }
     }
-    this.#sumPeers();
   }
 
-  #sumPeers(): void {
+  #totalsOfPeers(): ReadonlyMap<string, number> {
+    if (this.#peerTotals !== undefined) {
+      return this.#peerTotals;
+    }
     const totals = new Map<string, number>();
     for (const { counts } of this.#peers.values()) {
       for (const [endpoint, count] of counts) {
@@ -108,6 +112,7 @@
       }
     }
     this.#peerTotals = totals;
+    return totals;
   }
 
   #load(endpoint: string): Load {
--- a/packages/dispatch/src/prefix_policy.ts
+++ b/packages/dispatch/src/prefix_policy.ts
@@ -1,4 +1,3 @@
-import { rankEndpoints } from "./baseline_policies.ts";
 import type { Endpoint } from "./endpoint_registry.ts";
 import {
   EndpointPolicy,
@@ -8,6 +7,7 @@
 import type { LoadBoard } from "./load_board.ts";
 import type { PrefixHolders } from "./prefix_holders.ts";
 import type { PromptFacts } from "./prompt_facts.ts";
+import { rankEndpoints } from "./rank_endpoints.ts";
 
 /** Options of {@linkcode PrefixPolicy}. */
 export interface PrefixPolicyOptions {
--- a/packages/endpoint/src/endpoint_http.ts
+++ b/packages/endpoint/src/endpoint_http.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { Readable } from "node:stream";
 import { EventSourceParserStream } from "eventsource-parser/stream";
+import { HOP_HEADERS } from "@limpetshed/base";
 import type { Dispatcher } from "undici";
 import type { ChatCall, StreamEvent } from "./endpoint_client.ts";
 import { EndpointError } from "./endpoint_error.ts";
@@ -163,24 +164,13 @@
   );
 }
 
-const HOP_HEADERS = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 /** Drops the headers that concern one connection only. */
 export function cleanHeaders(
   headers: Record<string, string | string[] | undefined>,
 ): Record<string, string | string[]> {
   const kept: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !HOP_HEADERS.has(name.toLowerCase())) {
+    if (value !== undefined && !HOP_HEADERS.includes(name.toLowerCase())) {
       kept[name] = value;
     }
   }
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -1,5 +1,4 @@
-import * as http from "node:http";
-import { listenOn } from "@limpetshed/base";
+import { HttpService } from "@limpetshed/base";
 import type { KeyMirror } from "@limpetshed/mirror";
 import {
   createApp,
@@ -20,9 +19,7 @@
 export const PLACEMENTS_PATH = "/placements";
 
 /** Answers other nodes that are behind or have just started. */
-export class PeerServer {
-  readonly #server: http.Server;
-
+export class PeerServer extends HttpService {
   constructor({ mirror, placements }: {
     mirror: KeyMirror;
     /** Parts of prompts and the endpoints that hold them, in turn. */
@@ -48,17 +45,6 @@
     router.get(PLACEMENTS_PATH, defineEventHandler(() => placements()));
     const app = createApp();
     app.use(router);
-    this.#server = http.createServer(toNodeListener(app));
-  }
-
-  /** Starts listening on `ip:port`. */
-  async listen(address: string): Promise<void> {
-    await listenOn(this.#server, address);
-  }
-
-  /** Stops listening. */
-  close(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    super(toNodeListener(app));
   }
 }
--- a/packages/fleet_node/src/fleet_node.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -23,7 +23,7 @@
   type WireFormat,
 } from "@limpetshed/relay";
 import { flatParts, heldParts } from "./held_parts.ts";
-import type { FleetNodeSettings } from "./fleet_node_settings.ts";
+import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
 import { StateSources } from "./state_sources.ts";
 
@@ -35,12 +35,12 @@
   directory: PeerDirectory;
 }
 
-/** Options of {@linkcode FleetNode}. */
-export interface FleetNodeOptions {
+/** Options of {@linkcode FleetRelay}. */
+export interface FleetRelayOptions {
   clock: Clock;
   logger: Logger;
   metrics: RelayMetrics;
-  settings: FleetNodeSettings;
+  settings: FleetRelaySettings;
   format: WireFormat;
   /** Path that the balancer asks for. */
   readyPath: string;
@@ -60,8 +60,8 @@
 const HOUSEKEEPING_MS = 500;
 
 /** A relay node among others. */
-export class FleetNode {
-  readonly #options: FleetNodeOptions;
+export class FleetRelay {
+  readonly #options: FleetRelayOptions;
   readonly #rng: Rng;
   readonly #mirror = new KeyMirror();
   readonly #directory: PeerDirectory;
@@ -77,7 +77,7 @@
   readonly #housekeeping: Repeating;
   #graceMs: number;
 
-  constructor(options: FleetNodeOptions) {
+  constructor(options: FleetRelayOptions) {
     this.#options = options;
     const { clock, logger, settings } = options;
     this.#rng = new Rng(settings.seed);
--- a/packages/fleet_node/src/fleet_node_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -1,7 +1,7 @@
 import type { ColdLimits, RetryLimits } from "@limpetshed/dispatch";
 
 /** What a fleet node is told at its start. */
-export interface FleetNodeSettings {
+export interface FleetRelaySettings {
   nodeId: string;
   /** Differs between starts of a node. */
   incarnation: string;
--- a/packages/fleet_node/src/index.ts
+++ b/packages/fleet_relay/src/index.ts
@@ -1,10 +1,10 @@
 /** A relay node among others. */
 export {
-  FleetNode,
-  type FleetNodeOptions,
+  FleetRelay,
+  type FleetRelayOptions,
   type StateTargets,
-} from "./fleet_node.ts";
-export type { FleetNodeSettings } from "./fleet_node_settings.ts";
+} from "./fleet_relay.ts";
+export type { FleetRelaySettings } from "./fleet_relay_settings.ts";
 export {
   PlacementRecovery,
   type PlacementRecoveryOptions,
--- a/packages/node/src/http_listener.ts
+++ b/packages/node/src/http_listener.ts
@@ -1,7 +1,6 @@
 import * as http from "node:http";
 import * as https from "node:https";
-import type { AddressInfo } from "node:net";
-import { splitAddress } from "@limpetshed/peer";
+import { listenOn } from "@limpetshed/base";
 
 /** Certificate and key, PEM texts. */
 export interface ServerTls {
@@ -39,17 +38,8 @@
   }
 
   /** Starts listening on `ip:port`; returns the actual address. */
-  async listen(address: string): Promise<string> {
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => {
-        this.#server.off("error", reject);
-        resolve();
-      });
-    });
-    const { port: actual } = this.#server.address() as AddressInfo;
-    return `${host}:${actual}`;
+  listen(address: string): Promise<string> {
+    return listenOn(this.#server, address);
   }
 
   /** Takes a new certificate for connections to come. */
--- a/packages/node/src/running_node.ts
+++ b/packages/node/src/running_node.ts
@@ -3,6 +3,7 @@
   repeat,
   type Repeating,
   sleep,
+  splitHostPort,
   SystemClock,
 } from "@limpetshed/base";
 import { HttpEndpointClient } from "@limpetshed/endpoint";
@@ -12,7 +13,6 @@
   ConnectPeerTransport,
   PeerHandlers,
   PeerServer,
-  splitAddress,
   WireMeter,
 } from "@limpetshed/peer";
 import type { Settings } from "@limpetshed/settings";
@@ -122,7 +122,7 @@
   /** Starts a node; nothing stays behind when it cannot start. */
   static async start(settings: Settings): Promise<RunningNode> {
     await initHashing();
-    splitAddress(settings.listen.peers);
+    splitHostPort(settings.listen.peers);
     const running = new RunningNode(settings);
     try {
       await running.#listen();
@@ -203,6 +203,6 @@
   return new Metrics({
     prefix,
     tags,
-    ...(statsd === undefined ? {} : { statsd: splitAddress(statsd) }),
+    ...(statsd === undefined ? {} : { statsd: splitHostPort(statsd) }),
   });
 }
--- a/packages/peer/src/connect_peer_transport.ts
+++ b/packages/peer/src/connect_peer_transport.ts
@@ -5,7 +5,7 @@
   createConnectTransport,
   Http2SessionManager,
 } from "@connectrpc/connect-node";
-import { type Clock, withTimeout } from "@limpetshed/base";
+import { type Clock, splitHostPort, withTimeout } from "@limpetshed/base";
 import { RouterError } from "@limpetshed/errors";
 import type { Metrics } from "@limpetshed/observe";
 import { PeerService } from "./generated/limpetshed/peer/v1/peer_pb.ts";
@@ -109,7 +109,7 @@
   } {
     const scheme = material === undefined ? "http" : "https";
     const url = `${scheme}://${address}`;
-    const { host, port } = splitAddress(address);
+    const { host, port } = splitHostPort(address);
     const sessions = new Http2SessionManager(url, SESSION_OPTIONS, {
       createConnection: () => {
         const socket = material === undefined
@@ -135,10 +135,3 @@
     return { client: createClient(PeerService, transport), sessions };
   }
 }
-
-/** Splits `ip:port`; an IPv6 address stands in brackets. */
-export function splitAddress(address: string): { host: string; port: number } {
-  const at = address.lastIndexOf(":");
-  const host = address.slice(0, at).replace(/^\[|\]$/g, "");
-  return { host, port: Number(address.slice(at + 1)) };
-}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -2,7 +2,6 @@
 export {
   ConnectPeerTransport,
   type ConnectPeerTransportOptions,
-  splitAddress,
 } from "./connect_peer_transport.ts";
 export { FakePeerNetwork } from "./fake_peer_network.ts";
 export * as peerpb from "./generated/limpetshed/peer/v1/peer_pb.ts";
--- a/packages/peer/src/peer_server.ts
+++ b/packages/peer/src/peer_server.ts
@@ -1,9 +1,9 @@
 import * as http2 from "node:http2";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, type HandlerContext } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { AsyncQueue } from "@limpetshed/base";
+import { AsyncQueue, listenOn } from "@limpetshed/base";
 import { toRouterError } from "@limpetshed/errors";
 import type { Metrics } from "@limpetshed/observe";
 import {
@@ -18,7 +18,6 @@
 } from "./peer_credentials.ts";
 import type { PeerHandlers } from "./peer_handlers.ts";
 import type { WireMeter } from "./wire_meter.ts";
-import { splitAddress } from "./connect_peer_transport.ts";
 
 /** Options of {@linkcode PeerServer}. */
 export interface PeerServerOptions {
@@ -64,14 +63,8 @@
   }
 
   /** Starts listening on `ip:port`; returns the actual address. */
-  async listen(address: string): Promise<string> {
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
-    const { port: actual } = this.#server.address() as AddressInfo;
-    return `${host}:${actual}`;
+  listen(address: string): Promise<string> {
+    return listenOn(this.#server, address);
   }
 
   /** Takes new TLS material for connections to come. */
--- a/packages/relay/src/hop_headers.ts
+++ b/packages/relay/src/hop_headers.ts
@@ -1,20 +1,12 @@
-/** Headers that concern one connection only. */
-const HOP_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
+import { HOP_HEADERS } from "@limpetshed/base";
+
+/** A header of no standard that some callers send to proxies. */
+const PROXY_CONNECTION = "proxy-connection";
 
 /** Names of the headers that concern one connection, those listed in
  * `connection` included, lower case. */
 export function hopHeaders(connection: string | undefined): Set<string> {
-  const names = new Set(HOP_HEADERS);
+  const names = new Set([...HOP_HEADERS, PROXY_CONNECTION]);
   for (const name of connection?.split(",") ?? []) {
     names.add(name.trim().toLowerCase());
   }
--- a/packages/relay/src/metrics_server.ts
+++ b/packages/relay/src/metrics_server.ts
@@ -1,5 +1,4 @@
-import * as http from "node:http";
-import { listenOn } from "@limpetshed/base";
+import { HttpService } from "@limpetshed/base";
 import type { RelayMetrics } from "@limpetshed/observe";
 import {
   createApp,
@@ -13,9 +12,7 @@
 const METRICS_PATH = "/metrics";
 
 /** Serves metrics as text. */
-export class MetricsServer {
-  readonly #server: http.Server;
-
+export class MetricsServer extends HttpService {
   constructor({ metrics, onScrape }: {
     metrics: RelayMetrics;
     /** Called before each answer, to set gauges. */
@@ -32,17 +29,6 @@
     );
     const app = createApp();
     app.use(router);
-    this.#server = http.createServer(toNodeListener(app));
-  }
-
-  /** Starts listening on `ip:port`. */
-  async listen(address: string): Promise<void> {
-    await listenOn(this.#server, address);
-  }
-
-  /** Stops listening. */
-  close(): void {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    super(toNodeListener(app));
   }
 }
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -1,4 +1,5 @@
 import type { Buffer } from "node:buffer";
+import { deferred } from "@limpetshed/base";
 import type { Endpoint, LoadBoard, SendOutcome } from "@limpetshed/dispatch";
 import type { AnswerSink } from "./answer_sink.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
@@ -53,9 +54,7 @@
 export class SendAttempt implements ExchangeHandler {
   readonly #options: SendAttemptOptions;
   readonly #connection: EndpointConnection;
-  readonly #done: (result: SendResult) => void;
-  /** Settles once the caller's answer or the next step is decided. */
-  readonly result: Promise<SendResult>;
+  readonly #result = deferred<SendResult>();
   #mode: "waiting" | "relaying" | "discarding" | "settled" = "waiting";
   #isSent = false;
   #sentMs = 0;
@@ -66,11 +65,6 @@
     this.#options = options;
     const { pool, endpoint, repeatable, call } = options;
     this.#connection = pool.take(endpoint.entry.address, { repeatable });
-    let done: (result: SendResult) => void = () => undefined;
-    this.result = new Promise((resolve) => {
-      done = resolve;
-    });
-    this.#done = done;
     options.board.begin(endpoint.key);
     call.signal.addEventListener("abort", this.#onAbort, { once: true });
     this.#connection.exchange(
@@ -84,6 +78,11 @@
     );
   }
 
+  /** Settles once the caller's answer or the next step is decided. */
+  get result(): Promise<SendResult> {
+    return this.#result.promise;
+  }
+
   onSend(): void {
     this.#isSent = true;
     this.#sentMs = this.#options.now();
@@ -243,7 +242,12 @@
     const headMs = this.#head === undefined
       ? undefined
       : this.#options.now() - this.#sentMs;
-    this.#done({ outcome, status: this.#head?.status, reason, headMs });
+    this.#result.resolve({
+      outcome,
+      status: this.#head?.status,
+      reason,
+      headMs,
+    });
     this.#mode = "settled";
   }
 }
