feat(dispatch): refuse requests with which endpoints go down, over all nodes

Cause: a request that crashes each endpoint running it, sent again by its caller, was relayed each time; nothing counted crashes over the fleet.

A request that completes is cleared. Ruled out: counting lost answers alone, which would refuse popular requests at endpoints that lose answers; 422, since a proper request must not be answered as the caller's fault.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -15,7 +15,9 @@
   /** Cold endpoints have their fill for this second. */
   | "cold_limit"
   /** This node may open no more connections to them. */
-  | "connection_limit";
+  | "connection_limit"
+  /** Endpoints went down whenever one ran the request. */
+  | "crash_suspect";
 
 /** The endpoint to try, or why there is none. */
 export type Choice =
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,6 +11,11 @@
   LeastLoadedPolicy,
 } from "./baseline_policies.ts";
 export { type ColdLimits, ColdStartGate } from "./cold_start_gate.ts";
+export {
+  type CrashReport,
+  type CrashSuspect,
+  CrashSuspects,
+} from "./crash_suspects.ts";
 export {
   type Choice,
   type ChoiceRequest,
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -28,10 +28,15 @@
   /** Parts of prompts that this node sent since the last call, and endpoint
    * keys in turn. */
   takePlaced: () => string[];
+  /** Requests with which endpoints went down since the last call, and endpoint
+   * keys in turn. */
+  takeCrashed: () => string[];
   /** Told the requests in flight of another node. */
   onCounts: (nodeId: string, counts: Map<string, number>) => void;
   /** Told the parts of prompts that another node sent, as `takePlaced`. */
   onPlaced: (placed: readonly string[]) => void;
+  /** Told what another node saw, as `takeCrashed`. */
+  onCrashed: (crashed: readonly string[]) => void;
 }
 
 /** Pause between rounds. A short chat takes a second, so that a figure a fifth
@@ -42,6 +47,12 @@
  * are two thirds of what the target allows for control. */
 const FANOUT = 10;
 
+/** What happened in one round, as pairs. */
+interface News {
+  placed: string[];
+  crashed: string[];
+}
+
 interface Seen {
   incarnation: string;
   round: number;
@@ -54,8 +65,8 @@
   readonly #socket: Socket;
   readonly #seen = new Map<string, Seen>();
   #rounds: Repeating | undefined;
-  /** What was placed in as many rounds as it takes to tell every node. */
-  #placed: string[][] = [];
+  /** What happened in as many rounds as it takes to tell every node. */
+  #news: News[] = [];
   #round = 0;
   #turn = 0;
 
@@ -90,11 +101,12 @@
   }
 
   #tell(): void {
-    const { nodeId, incarnation, ownCounts, asOf, takePlaced, directory } =
-      this.#options;
+    const { nodeId, incarnation, ownCounts, asOf, directory } = this.#options;
+    const { takePlaced, takeCrashed } = this.#options;
     this.#round += 1;
     const rounds = Math.max(1, Math.ceil(directory.all().length / FANOUT));
-    this.#placed = [takePlaced(), ...this.#placed].slice(0, rounds);
+    const news = { placed: takePlaced(), crashed: takeCrashed() };
+    this.#news = [news, ...this.#news].slice(0, rounds);
     const datagrams = encodeLoadMessage({
       nodeId,
       incarnation,
@@ -102,7 +114,8 @@
       asOf: asOf(),
       storePath: this.#options.storePath(),
       counts: ownCounts(),
-      placed: this.#placed.flat(),
+      placed: this.#news.flatMap(({ placed }) => placed),
+      crashed: this.#news.flatMap(({ crashed }) => crashed),
     });
     for (const { datagrams: address } of this.#targets()) {
       const { host, port } = splitHostPort(address);
@@ -125,8 +138,8 @@
     if (message === undefined) {
       return;
     }
-    const { nodeId, incarnation, round, counts, placed } = message;
-    const { directory, onCounts, onPlaced } = this.#options;
+    const { nodeId, incarnation, round, counts } = message;
+    const { directory, onCounts, onPlaced, onCrashed } = this.#options;
     const known = this.#seen.get(nodeId);
     const isSameStart = known?.incarnation === incarnation;
     if (isSameStart && round < known.round) {
@@ -137,6 +150,7 @@
     this.#seen.set(nodeId, { incarnation, round, counts: all });
     directory.heard(nodeId, message);
     onCounts(nodeId, all);
-    onPlaced(placed);
+    onPlaced(message.placed);
+    onCrashed(message.crashed);
   }
 }
--- a/packages/fleet/src/load_message.ts
+++ b/packages/fleet/src/load_message.ts
@@ -15,6 +15,9 @@
   counts: ReadonlyMap<string, number>;
   /** Parts of prompts that the node sent lately, and endpoint keys in turn. */
   placed: readonly string[];
+  /** Fingerprints of requests with which an endpoint went down lately, and
+   * endpoint keys in turn. */
+  crashed: readonly string[];
 }
 
 /** Larger datagrams may be split on the way. */
@@ -22,6 +25,9 @@
 /** Bytes of a datagram beside its counts, at the most. */
 const FRAME_BYTES = 200;
 
+/** Lists of pairs in a message. */
+const LISTS = 3;
+
 type Wire = [
   nodeId: string,
   incarnation: string,
@@ -30,6 +36,7 @@
   storePath: StorePath,
   counts: (string | number)[],
   placed: string[],
+  crashed: string[],
 ];
 
 const STORE_PATHS: readonly unknown[] = [
@@ -41,11 +48,13 @@
 /** Encodes a message, in several datagrams if it is long. */
 export function encodeLoadMessage(message: LoadMessage): Buffer[] {
   const { nodeId, incarnation, round, asOf, storePath } = message;
-  const { counts, placed } = message;
+  const { counts, placed, crashed } = message;
   const loads = splitPairs([...counts].flat());
   const places = splitPairs(placed);
+  const crashes = splitPairs(crashed);
+  const parts = Math.max(loads.length, places.length, crashes.length);
   const datagrams: Buffer[] = [];
-  for (let at = 0; at < Math.max(loads.length, places.length); at += 1) {
+  for (let at = 0; at < parts; at += 1) {
     const wire: Wire = [
       nodeId,
       incarnation,
@@ -54,19 +63,20 @@
       storePath,
       loads[at] ?? [],
       places[at] ?? [],
+      crashes[at] ?? [],
     ];
     datagrams.push(Buffer.from(JSON.stringify(wire)));
   }
   return datagrams;
 }
 
-/** Splits a flat list of pairs so that two lists fit into one datagram. */
+/** Splits a flat list of pairs so that all lists fit into one datagram. */
 function splitPairs<T extends string | number>(flat: readonly T[]): T[][] {
   const lists: T[][] = [[]];
   let bytes = 0;
   for (let at = 0; at + 1 < flat.length; at += 2) {
     const size = String(flat[at]).length + String(flat[at + 1]).length + 6;
-    if (bytes + size > (MAX_DATAGRAM_BYTES - FRAME_BYTES) / 2) {
+    if (bytes + size > (MAX_DATAGRAM_BYTES - FRAME_BYTES) / LISTS) {
       lists.push([]);
       bytes = 0;
     }
@@ -88,7 +98,8 @@
   if (!isWire(wire)) {
     return undefined;
   }
-  const [nodeId, incarnation, round, asOf, storePath, flat, placed] = wire;
+  const [nodeId, incarnation, round, asOf, storePath, flat, placed, crashed] =
+    wire;
   const counts = new Map<string, number>();
   for (let at = 0; at + 1 < flat.length; at += 2) {
     counts.set(String(flat[at]), Math.max(0, Number(flat[at + 1]) || 0));
@@ -101,13 +112,14 @@
     storePath,
     counts,
     placed: placed.map(String),
+    crashed: crashed.map(String),
   };
 }
 
 function isWire(value: unknown): value is Wire {
-  return Array.isArray(value) && value.length === 7 &&
+  return Array.isArray(value) && value.length === 8 &&
     typeof value[0] === "string" && typeof value[1] === "string" &&
     Number.isSafeInteger(value[2]) && Number.isSafeInteger(value[3]) &&
     STORE_PATHS.includes(value[4]) &&
-    Array.isArray(value[5]) && Array.isArray(value[6]);
+    value.slice(5).every(Array.isArray);
 }
--- a/packages/fleet/tests/load_message_test.ts
+++ b/packages/fleet/tests/load_message_test.ts
@@ -17,6 +17,7 @@
     storePath: "open",
     counts: new Map(),
     placed: [],
+    crashed: [],
     ...fields,
   };
 }
@@ -26,6 +27,7 @@
     const sent = message({
       counts: new Map([["e1/2", 3]]),
       placed: ["t", "e1"],
+      crashed: ["f", "e2/1"],
     });
     const [data] = encodeLoadMessage(sent);
     expect(decodeLoadMessage(data!)).to.deep.equal(sent);
@@ -57,7 +59,7 @@
         decodeLoadMessage(Buffer.from(text));
       }),
     );
-    expect(decodeLoadMessage(Buffer.from("[1,2,3,4,5,6,7]"))).to.equal(
+    expect(decodeLoadMessage(Buffer.from("[1,2,3,4,5,6,7,8]"))).to.equal(
       undefined,
     );
   });
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -22,6 +22,7 @@
   RelayNode,
   type WireFormat,
 } from "@limpetshed/relay";
+import { crashReports, flatReports } from "./crash_reports.ts";
 import { flatParts, heldParts } from "./held_parts.ts";
 import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
@@ -245,7 +246,7 @@
 
   #makeExchange(): LoadExchange {
     const { clock, logger, settings } = this.#options;
-    const { board, holders } = this.#node;
+    const { board, holders, crashes } = this.#node;
     return new LoadExchange({
       clock,
       logger,
@@ -256,8 +257,10 @@
       asOf: () => this.#mirror.asOf,
       storePath: () => this.#sources.storePath,
       takePlaced: () => flatParts(holders.takeNews()),
+      takeCrashed: () => flatReports(crashes.takeNews()),
       onCounts: (nodeId, counts) => board.setPeer(nodeId, counts),
       onPlaced: (placed) => holders.heard(heldParts(placed)),
+      onCrashed: (crashed) => crashes.heard(crashReports(crashed)),
     });
   }
 
--- a/packages/relay/src/call_relay.ts
+++ b/packages/relay/src/call_relay.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@limpetshed/base";
 import {
   type Choice,
+  type CrashSuspects,
   type Endpoint,
   type EndpointChooser,
   isRepeatable,
@@ -28,6 +29,7 @@
   board: LoadBoard;
   suspicion: SuspicionList;
   allowance: RetryAllowance;
+  crashes: CrashSuspects;
   pool: ConnectionPool;
   format: WireFormat;
   observer: RelayObserver;
@@ -127,7 +129,14 @@
   }
 
   #place(call: RelayCall): Exclude<Choice, { refusal: NoChoice }> {
-    const { chooser, serviceOf, observer } = this.#options;
+    const { chooser, serviceOf, observer, crashes } = this.#options;
+    const refusedMs = crashes.hasAny
+      ? crashes.refusedForMs(call.fingerprint())
+      : 0;
+    if (refusedMs > 0) {
+      observer.notPlaced(call, "crash_suspect");
+      throw placeError(call, "crash_suspect", refusedMs);
+    }
     const spec = serviceOf(call.service);
     const choice: Choice = spec === undefined
       ? { refusal: "none_in_service" }
@@ -150,9 +159,20 @@
   }
 
   #note(call: RelayCall, endpoint: Endpoint, result: SendResult): void {
-    const { suspicion } = this.#options;
     const { outcome } = result;
-    call.tried.add(endpoint.key);
+    this.#countUp(call, endpoint, outcome);
+    if (call.signal.aborted) {
+      const reason = call.signal.reason as AbortReason;
+      if (reason === "time_over" && result.headMs === undefined) {
+        this.#options.suspicion.failed(endpoint.key);
+      }
+      return;
+    }
+    this.#noteHealth(call, endpoint, outcome);
+  }
+
+  #countUp(call: RelayCall, { key }: Endpoint, outcome: SendOutcome): void {
+    call.tried.add(key);
     if (outcome === "not_sent" || outcome === "misdirected") {
       call.counts.unsent += 1;
     } else {
@@ -162,17 +182,31 @@
       call.arrivals += 1;
     }
     call.mayHaveRun ||= mayHaveRun(outcome);
-    if (call.signal.aborted) {
-      const reason = call.signal.reason as AbortReason;
-      if (reason === "time_over" && result.headMs === undefined) {
-        suspicion.failed(endpoint.key);
-      }
-      return;
-    }
-    if (outcome === "not_sent" || outcome === "lost" || outcome === "broken") {
-      suspicion.lost(endpoint.key);
-    } else if (outcome === "delivered") {
-      suspicion.answered(endpoint.key);
+  }
+
+  /** Notes what the end of a send says of the endpoint and of the request. */
+  #noteHealth(call: RelayCall, { key }: Endpoint, outcome: SendOutcome): void {
+    const { suspicion, crashes } = this.#options;
+    switch (outcome) {
+      case "delivered":
+        suspicion.answered(key);
+        if (crashes.hasAny) {
+          crashes.completed(call.fingerprint());
+        }
+        return;
+      case "not_sent":
+        suspicion.lost(key);
+        crashes.foundDown(key);
+        return;
+      case "lost":
+      case "broken":
+        suspicion.lost(key);
+        crashes.lost({ fingerprint: call.fingerprint(), endpoint: key });
+        return;
+      case "rejected":
+      case "misdirected":
+      case "failed":
+        return;
     }
   }
 }
@@ -182,7 +216,11 @@
     outcome === "delivered";
 }
 
-function placeError(call: RelayCall, reason: NoChoice): RouterError {
+function placeError(
+  call: RelayCall,
+  reason: NoChoice,
+  retryAfterMs = RETRY_AFTER_MS,
+): RouterError {
   if (call.mayHaveRun) {
     return new RouterError("endpoint_failed", "no endpoint is left to try");
   }
@@ -190,7 +228,7 @@
   return new RouterError(
     isRetried ? "endpoint_unreachable" : "no_endpoint",
     `no endpoint can take the request: ${reason}`,
-    { retryAfterMs: RETRY_AFTER_MS },
+    { retryAfterMs },
   );
 }
 
--- a/packages/relay/src/front_server.ts
+++ b/packages/relay/src/front_server.ts
@@ -12,6 +12,7 @@
 import { createApp, defineEventHandler, toNodeListener } from "h3";
 import { AnswerSink } from "./answer_sink.ts";
 import type { CallRelay } from "./call_relay.ts";
+import { lazyFingerprint } from "./fingerprint.ts";
 import { readBody } from "./read_body.ts";
 import { type AbortReason, newProgress, type RelayCall } from "./relay_call.ts";
 import type { RelayObserver } from "./relay_observer.ts";
@@ -180,6 +181,11 @@
       configVersion: table.version,
       account: account?.name,
       prompt: facts.prompt,
+      fingerprint: lazyFingerprint({
+        account: account?.name,
+        path: req.url ?? "/",
+        body,
+      }),
       arrivedMs,
       endsMs: arrivedMs +
         Math.min(route.timeoutMs, facts.patienceMs ?? route.timeoutMs),
--- a/packages/relay/src/relay_call.ts
+++ b/packages/relay/src/relay_call.ts
@@ -30,6 +30,9 @@
   configVersion: number;
   account: string | undefined;
   prompt: PromptFacts | undefined;
+  /** The same for every repeat of the request, also at other nodes; worked out
+   * when first asked for. */
+  fingerprint: () => string;
   /** Monotonic time of its arrival. */
   arrivedMs: number;
   /** Monotonic time by which it must be answered. */
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -2,6 +2,7 @@
 import {
   type ColdLimits,
   ColdStartGate,
+  CrashSuspects,
   type Endpoint,
   EndpointChooser,
   type EndpointPolicy,
@@ -58,6 +59,7 @@
   readonly registry: EndpointRegistry;
   readonly board: LoadBoard;
   readonly holders: PrefixHolders;
+  readonly crashes: CrashSuspects;
   readonly #options: RelayNodeOptions;
   readonly #pool: ConnectionPool;
   readonly #suspicion: SuspicionList;
@@ -72,6 +74,15 @@
     this.#plan = new StopPlan({ clock });
     this.board = new LoadBoard({ clock });
     this.holders = new PrefixHolders({ clock });
+    this.crashes = new CrashSuspects({
+      clock,
+      onRefused: (suspect) =>
+        options.logger.warn({
+          event: "crash_suspect",
+          outcome: "refused",
+          ...suspect,
+        }),
+    });
     this.#pool = new ConnectionPool({ clock });
     this.#suspicion = new SuspicionList({ clock });
     this.#coldGate = new ColdStartGate({
@@ -82,7 +93,12 @@
     });
     this.registry = new EndpointRegistry({
       clock,
-      onDrop: (endpoint) => this.#forget(endpoint),
+      onDrop: (endpoint, reason) => {
+        if (reason === "reborn") {
+          this.crashes.foundDown(endpoint.key);
+        }
+        this.#forget(endpoint);
+      },
     });
     this.#front = new FrontServer({
       clock,
@@ -161,6 +177,7 @@
       chooser: this.#makeChooser(),
       board: this.board,
       suspicion: this.#suspicion,
+      crashes: this.crashes,
       allowance: new RetryAllowance({
         clock,
         limits: retryLimits,
--- a/packages/relay/tests/relay_test.ts
+++ b/packages/relay/tests/relay_test.ts
@@ -144,6 +144,22 @@
     expect(total).to.equal(2);
   });
 
+  it("refuses a request with which an endpoint went down twice", async () => {
+    await fixture.start(reset);
+    for (const bornMs of [2, 3]) {
+      await fixture.send("/unsafe/", { body: "poison" });
+      const { entry } = fixture.node.registry.get("e1")!;
+      fixture.node.registry.put({ ...entry, bornMs });
+    }
+    fixture.endpoints[0]!.behaviour = answer;
+    const got = await fixture.send("/unsafe/", { body: "poison" });
+    expect(got.status).to.equal(503);
+    expect(Number(got.headers["retry-after"])).to.be.above(0);
+    expect(arrivals()).to.deep.equal([2]);
+    const other = await fixture.send("/unsafe/", { body: "harmless" });
+    expect(other.status).to.equal(200);
+  });
+
   it("relays an endpoint's own failure unchanged", async () => {
     await fixture.start((seen, res) => {
       res.writeHead(500, { "x-id": seen.id, "x-signed": "7" });
