fix(fleet): check what other nodes answer, keep the connection, wait by the clock

Cause, from reading: the answer of another node was taken for an update unchecked, so that one without a revision would have spoilt the mirror; each call opened a connection; waiting went by the system's clock; a registration that failed was logged at debug only, and dropped log lines were counted but not served.

Tests that failed before: peer_calls_test, node_registration_test.

--- a/packages/base/src/http_service.ts
+++ b/packages/base/src/http_service.ts
@@ -9,9 +9,9 @@
     this.#server = http.createServer(handler);
   }
 
-  /** Starts listening on `ip:port`. */
-  async listen(address: string): Promise<void> {
-    await listenOn(this.#server, address);
+  /** Starts listening on `ip:port`; returns the actual address. */
+  listen(address: string): Promise<string> {
+    return listenOn(this.#server, address);
   }
 
   /** Stops listening. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,7 +19,7 @@
   type PeerAddress,
   PeerDirectory,
 } from "./peer_directory.ts";
-export { askPeer } from "./ask_peer.ts";
+export { PeerClient } from "./peer_client.ts";
 export { PeerServer, PLACEMENTS_PATH } from "./peer_server.ts";
 export {
   chooseWatchers,
--- a/packages/fleet/src/node_registration.ts
+++ b/packages/fleet/src/node_registration.ts
@@ -38,14 +38,14 @@
   readonly #rounds: Repeating;
   #lease: number | undefined;
   #renewedMs = Number.NEGATIVE_INFINITY;
+  #failures = 0;
 
   constructor(options: NodeRegistrationOptions) {
     this.#options = options;
-    const { clock, logger } = options;
+    const { clock } = options;
     this.#rounds = repeat(clock, () => this.#round(), {
       everyMs: RETRY_MS,
-      onError: (err) =>
-        logger.debug({ event: "registration", outcome: "failed", err }),
+      onError: (err) => this.#failed(err),
     });
   }
 
@@ -55,6 +55,25 @@
     await this.#rounds.close();
   }
 
+  /** Says so once for each outage; the follower of the store tells the rest. */
+  #failed(err: unknown): void {
+    this.#failures += 1;
+    if (this.#failures === 1) {
+      const { logger, key } = this.#options;
+      logger.warn({
+        event: "registration",
+        outcome: "failed",
+        entry: key,
+        err: err instanceof Error ? err.message : String(err),
+      });
+    }
+  }
+
+  #renewed(): void {
+    this.#renewedMs = this.#options.clock.monotonicMs();
+    this.#failures = 0;
+  }
+
   async #round(): Promise<void> {
     const { clock, store, logger, key, value } = this.#options;
     const { signal } = this.#stop;
@@ -63,7 +82,7 @@
     }
     if (this.#lease !== undefined) {
       if (await store.keepLease(this.#lease, { signal })) {
-        this.#renewedMs = clock.monotonicMs();
+        this.#renewed();
         return;
       }
       this.#lease = undefined;
@@ -71,7 +90,7 @@
     const lease = await store.grantLease(LEASE_MS, { signal });
     if (await store.put(key, { value, lease, signal })) {
       this.#lease = lease;
-      this.#renewedMs = clock.monotonicMs();
+      this.#renewed();
       logger.info({ event: "registration", outcome: "entered", entry: key });
     }
   }
--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -4,7 +4,8 @@
   ChangeSource,
   type Snapshot,
 } from "@limpetshed/mirror";
-import { askPeer } from "./ask_peer.ts";
+import { decodeUpdate } from "./decode_update.ts";
+import { PeerClient } from "./peer_client.ts";
 import { CHANGES_PATH } from "./peer_server.ts";
 
 /** Options of {@linkcode PeerChangeSource}. */
@@ -17,11 +18,18 @@
 /** Shared state as another node knows it. */
 export class PeerChangeSource extends ChangeSource {
   readonly name = "peers";
-  readonly #options: PeerChangeSourceOptions;
+  readonly #choose: PeerChangeSourceOptions["choose"];
+  readonly #client: PeerClient;
 
-  constructor(options: PeerChangeSourceOptions) {
+  constructor({ clock, choose }: PeerChangeSourceOptions) {
     super();
-    this.#options = options;
+    this.#choose = choose;
+    this.#client = new PeerClient({ clock });
+  }
+
+  /** Closes the connection to the node asked last. */
+  close(): void {
+    this.#client.close();
   }
 
   readAll(options: { signal: AbortSignal }): Promise<Snapshot | ChangeBatch> {
@@ -32,16 +40,11 @@
     revision: number,
     { signal }: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot> {
-    const address = this.#options.choose();
+    const address = this.#choose();
     if (address === undefined) {
       throw new Error("no other node is known");
     }
     const path = `${CHANGES_PATH}?after=${revision}`;
-    const update = await askPeer(address, {
-      path,
-      clock: this.#options.clock,
-      signal,
-    });
-    return update as ChangeBatch | Snapshot;
+    return decodeUpdate(await this.#client.ask(address, { path, signal }));
   }
 }
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -1,4 +1,4 @@
-import { HttpService } from "@limpetshed/base";
+import { type Clock, HttpService } from "@limpetshed/base";
 import type { KeyMirror } from "@limpetshed/mirror";
 import {
   createApp,
@@ -20,7 +20,8 @@
 
 /** Answers other nodes that are behind or have just started. */
 export class PeerServer extends HttpService {
-  constructor({ mirror, placements }: {
+  constructor({ clock, mirror, placements }: {
+    clock: Clock;
     mirror: KeyMirror;
     /** Parts of prompts and the endpoints that hold them, in turn. */
     placements: () => readonly string[];
@@ -34,7 +35,7 @@
           throw createError({ statusCode: 400 });
         }
         if (mirror.asOf <= after) {
-          await mirror.nextUpdate(AbortSignal.timeout(CHANGES_WAIT_MS));
+          await nextUpdate(mirror, clock);
         }
         if (mirror.asOf === 0) {
           throw createError({ statusCode: 503 });
@@ -48,3 +49,11 @@
     super(toNodeListener(app));
   }
 }
+
+/** Waits for news, not longer than callers do. */
+async function nextUpdate(mirror: KeyMirror, clock: Clock): Promise<void> {
+  const over = new AbortController();
+  const timer = clock.setTimer(CHANGES_WAIT_MS, () => over.abort());
+  await mirror.nextUpdate(over.signal);
+  timer.cancel();
+}
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -43,6 +43,8 @@
   metrics: RelayMetrics;
   settings: FleetRelaySettings;
   format: WireFormat;
+  /** Log lines dropped since the start. */
+  droppedLogLines?: () => number;
   /** Path that the balancer asks for. */
   readyPath: string;
   /** Shared state as the store has it. */
@@ -69,6 +71,7 @@
   readonly #node: RelayNode;
   readonly #sources: StateSources;
   readonly #recovery: PlacementRecovery;
+  readonly #peerSource: PeerChangeSource;
   readonly #followers: { store: MirrorFollower; peers: MirrorFollower };
   readonly #peerServer: PeerServer;
   readonly #metricsServer: MetricsServer;
@@ -87,6 +90,10 @@
     this.#node = this.#makeNode();
     this.#sources = this.#makeSources();
     this.#recovery = this.#makeRecovery();
+    this.#peerSource = new PeerChangeSource({
+      clock,
+      choose: () => this.#sources.peerToAsk(),
+    });
     this.#followers = this.#makeFollowers();
     this.#departures = this.#makeDepartures();
     options.connectState({
@@ -96,6 +103,7 @@
       directory: this.#directory,
     });
     this.#peerServer = new PeerServer({
+      clock,
       mirror: this.#mirror,
       placements: () => this.#recovery.told(),
     });
@@ -151,6 +159,7 @@
     this.#node.close();
     this.#peerServer.close();
     this.#metricsServer.close();
+    this.#peerSource.close();
     await Promise.all([
       this.#followers.store.close(),
       this.#followers.peers.close(),
@@ -225,10 +234,7 @@
     sources.attach(store);
     const peers = new MirrorFollower({
       ...shared,
-      source: new PeerChangeSource({
-        clock,
-        choose: () => sources.peerToAsk(),
-      }),
+      source: this.#peerSource,
       isWanted: () => sources.needsPeers,
     });
     return { store, peers };
@@ -265,7 +271,8 @@
   }
 
   #setGauges(): void {
-    const { metrics } = this.#options;
+    const { metrics, droppedLogLines = () => 0 } = this.#options;
+    metrics.gauge("limpetshed_log_lines_dropped", droppedLogLines());
     metrics.gauge("limpetshed_in_flight", this.#node.inFlight);
     metrics.gauge("limpetshed_config_version", this.#node.config.version);
     metrics.gauge("limpetshed_state_revision", this.#mirror.asOf);
--- a/packages/fleet_relay/src/placement_recovery.ts
+++ b/packages/fleet_relay/src/placement_recovery.ts
@@ -5,7 +5,7 @@
   recoverHolders,
 } from "@limpetshed/dispatch";
 import {
-  askPeer,
+  PeerClient,
   type PeerDirectory,
   PLACEMENTS_PATH,
 } from "@limpetshed/fleet";
@@ -38,11 +38,13 @@
 export class PlacementRecovery {
   readonly #options: PlacementRecoveryOptions;
   readonly #stop = new AbortController();
+  readonly #client: PeerClient;
   #hasBegun = false;
   #isDone = false;
 
   constructor(options: PlacementRecoveryOptions) {
     this.#options = options;
+    this.#client = new PeerClient({ clock: options.clock });
     this.#isDone = options.isFirstStart;
     this.#hasBegun = options.isFirstStart;
   }
@@ -63,6 +65,7 @@
   /** Stops. */
   close(): void {
     this.#stop.abort();
+    this.#client.close();
   }
 
   async #run(): Promise<void> {
@@ -77,6 +80,7 @@
       ownEndpoints: () => this.#ownEndpoints(),
       askEndpoint: (endpoint) => listHeldParts(endpoint, { signal }),
     });
+    this.#client.close();
     this.#isDone = true;
     logger.info({ event: "placements_recovered", ...recovery });
   }
@@ -91,14 +95,14 @@
   }
 
   async #askPeer(): Promise<HeldPart[]> {
-    const { clock, directory, rng } = this.#options;
+    const { directory, rng } = this.#options;
     const address = rng.pick(directory.all())?.calls;
     if (address === undefined) {
       throw new Error("no other node is known");
     }
     const path = PLACEMENTS_PATH;
     const { signal } = this.#stop;
-    const told = await askPeer(address, { path, clock, signal });
+    const told = await this.#client.ask(address, { path, signal });
     return Array.isArray(told) ? heldParts(told.map(String)) : [];
   }
 
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -81,6 +81,11 @@
     ["source"],
     "Whether a source of shared state answers: 1 or 0.",
   ),
+  limpetshed_log_lines_dropped: row(
+    "gauge",
+    [],
+    "Log lines dropped since the start because nobody read them.",
+  ),
   limpetshed_nodes: row("gauge", [], "Nodes known, this one included."),
 } as const satisfies Record<string, RelayMetricRow>;
 
