test(relay): fuzz the front and endpoints' answers; log only sound request ids

Cause: a malformed header block can put a caller's key into the request id, which was logged as it came and at any length.

--- a/packages/relay/src/decision_observer.ts
+++ b/packages/relay/src/decision_observer.ts
@@ -12,6 +12,10 @@
   metrics: RelayMetrics;
 }
 
+/** Ids that are logged: longer ones, or other characters, may hold anything
+ * that a caller sent. */
+const PRINTABLE_ID = /^[\w.:-]{1,64}$/;
+
 /** Counts each decision on a call and writes a line for it, within the log's
  * budget. */
 export class DecisionObserver extends RelayObserver {
@@ -42,7 +46,7 @@
       });
     }
     this.#line(`send_${outcome}`, () => ({
-      requestId: call.requestId,
+      requestId: printableId(call.requestId),
       event: "send",
       outcome,
       status: result.status,
@@ -64,7 +68,7 @@
   repeated(call: RelayCall, outcome: SendOutcome): void {
     this.#metrics.count("limpetshed_repeats_total", { reason: outcome });
     this.#line("repeat", () => ({
-      requestId: call.requestId,
+      requestId: printableId(call.requestId),
       event: "repeat",
       outcome,
       sends: call.counts.sends,
@@ -77,7 +81,7 @@
   notPlaced(call: RelayCall, reason: NoChoice): void {
     this.#metrics.count("limpetshed_not_placed_total", { reason });
     this.#line("not_placed", () => ({
-      requestId: call.requestId,
+      requestId: printableId(call.requestId),
       event: "not_placed",
       outcome: reason,
       service: call.service,
@@ -94,7 +98,7 @@
     });
     this.#metrics.timing("limpetshed_answer_seconds", durationMs, { kind });
     this.#line("answered", () => ({
-      requestId: call.requestId,
+      requestId: printableId(call.requestId),
       event: "answered",
       route: call.route.name,
       durationMs: Math.round(durationMs),
@@ -120,7 +124,7 @@
       run: err.run,
     });
     this.#line(`failed_${err.kind}`, () => ({
-      requestId,
+      requestId: printableId(requestId),
       event: "failed",
       outcome: err.kind,
       status: brokenOff ? undefined : err.status,
@@ -150,3 +154,9 @@
     }
   }
 }
+
+function printableId(requestId: string | undefined): string | undefined {
+  return requestId === undefined || PRINTABLE_ID.test(requestId)
+    ? requestId
+    : "(not printable)";
+}
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -90,6 +90,7 @@
   status: number;
   headers: http.IncomingHttpHeaders;
   body: string;
+  bytes: Buffer;
   /** Whether the answer ended as a complete one. */
   isWhole: boolean;
 }
@@ -100,9 +101,14 @@
   readonly node: RelayNode;
   #address = "";
 
+  /** Lines that the node logged. */
+  readonly lines: string[] = [];
+
   constructor() {
     const clock = new SystemClock();
-    const logger = makeLogger({ level: "silent" });
+    const logger = makeLogger({
+      destination: { write: (line: string) => void this.lines.push(line) },
+    });
     this.node = new RelayNode({
       clock,
       logger,
@@ -224,8 +230,9 @@
     });
   }
 
-  /** Sends bytes as they are; resolves to all that comes back. */
-  raw(bytes: string): Promise<string> {
+  /** Sends bytes as they are, and the end of the connection if `ends`;
+   * resolves to all that comes back. */
+  raw(bytes: string | Buffer, { ends = false } = {}): Promise<string> {
     const [host, port] = this.#address.split(":");
     return new Promise((resolve) => {
       const socket = net.connect({ host, port: Number(port) });
@@ -233,7 +240,11 @@
       socket.on("data", (chunk) => chunks.push(chunk));
       socket.on("error", () => undefined);
       socket.on("close", () => resolve(Buffer.concat(chunks).toString()));
-      socket.write(bytes);
+      if (ends) {
+        socket.end(bytes);
+      } else {
+        socket.write(bytes);
+      }
     });
   }
 
@@ -254,6 +265,7 @@
         status: res.statusCode ?? 0,
         headers: res.headers,
         body: Buffer.concat(chunks).toString(),
+        bytes: Buffer.concat(chunks),
         isWhole: res.complete,
       }));
   });
