--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -11,6 +11,7 @@
 export { HttpService } from "./http_service.ts";
 export { listenOn, splitHostPort } from "./listen_on.ts";
 export { ManualClock } from "./manual_clock.ts";
+export { parseJson } from "./parse_json.ts";
 export { PausableClock } from "./pausable_clock.ts";
 export { repeat, type Repeating, type RepeatOptions } from "./repeat.ts";
 export { sleep } from "./sleep.ts";
--- a/packages/fleet/src/peer_client.ts
+++ b/packages/fleet/src/peer_client.ts
@@ -1,4 +1,4 @@
-import { type Clock, withTimeout } from "@limpetshed/base";
+import { type Clock, parseJson, withTimeout } from "@limpetshed/base";
 import { Client } from "undici";
 import { CHANGES_WAIT_MS } from "./peer_server.ts";
 
@@ -67,5 +67,5 @@
   if (statusCode !== 200) {
     throw new Error(`the node answered with status ${statusCode}`);
   }
-  return JSON.parse(text);
+  return parseJson(text, "the answer");
 }
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -31,7 +31,7 @@
 /** What shared state changes in a node. */
 export interface StateTargets {
   mirror: KeyMirror;
-  node: RelayNode;
+  node: Pick<RelayNode, "config" | "registry">;
   departures: Departures;
   directory: PeerDirectory;
 }
