feat(dispatch): refuse at once what would wait too long for a place

A request that no endpoint has a free place for is refused when its wait, from the load and the mean time at an endpoint, exceeds a part of the service's target latency: less for less urgent ones, least for accounts above an equal share of what is in flight. One that cannot be served in its time at all is refused as hopeless. Ruled out: the engines' priorities, which preempt streams under way; queues at the nodes, which wait as long as the engines' own.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -3,6 +3,11 @@
 import type { ColdStartGate } from "./cold_start_gate.ts";
 import type { EndpointPolicy } from "./endpoint_policy.ts";
 import type { Endpoint, EndpointRegistry } from "./endpoint_registry.ts";
+import type {
+  OverloadGuard,
+  OverloadRefusal,
+  OverloadRequest,
+} from "./overload_guard.ts";
 import type { PromptFacts } from "./prompt_facts.ts";
 import type { SuspicionList } from "./suspicion_list.ts";
 
@@ -17,12 +22,17 @@
   /** This node may open no more connections to them. */
   | "connection_limit"
   /** Endpoints went down whenever one ran the request. */
-  | "crash_suspect";
+  | "crash_suspect"
+  | OverloadRefusal;
 
 /** The endpoint to try, or why there is none. */
 export type Choice =
   | { endpoint: Endpoint; copyFrom?: Endpoint; candidates: number }
-  | { refusal: NoChoice };
+  | {
+    refusal: NoChoice;
+    /** Time after which it may be otherwise, milliseconds, if known. */
+    waitMs?: number;
+  };
 
 /** What is to be placed. */
 export interface ChoiceRequest {
@@ -30,6 +40,11 @@
   prompt: PromptFacts | undefined;
   /** Keys of endpoints that have had the request. */
   tried: ReadonlySet<string>;
+  /** What the request is worth waiting for. */
+  urgency: Pick<
+    OverloadRequest,
+    "account" | "priority" | "targetLatencyMs" | "leftMs"
+  >;
 }
 
 /** Options of {@linkcode EndpointChooser}. */
@@ -39,6 +54,7 @@
   policy: EndpointPolicy;
   coldGate: ColdStartGate;
   suspicion: SuspicionList;
+  guard: OverloadGuard;
   /** Whether a further connection to the address may be needed and is not
    * allowed. */
   isConnectionLimitReached: (address: string, spec: ServiceSpec) => boolean;
@@ -53,8 +69,19 @@
   }
 
   /** Chooses the endpoint of a request and counts it where it is cold. */
-  choose({ spec, prompt, tried }: ChoiceRequest): Choice {
-    const { registry, policy, coldGate } = this.#options;
+  choose(req: ChoiceRequest): Choice {
+    const candidates = this.#candidates(req);
+    if ("refusal" in candidates) {
+      return candidates;
+    }
+    return this.#overload(req, candidates) ?? this.#place(req, candidates);
+  }
+
+  /** Endpoints that may be tried now, or why there are none. */
+  #candidates(
+    { spec, tried }: ChoiceRequest,
+  ): Endpoint[] | { refusal: NoChoice } {
+    const { registry } = this.#options;
     const usable = registry.usable(spec.name);
     if (usable.length === 0) {
       return { refusal: "none_in_service" };
@@ -68,9 +95,25 @@
       return { refusal: "cold_limit" };
     }
     const candidates = this.#preferTrusted(this.#connectable(bearing, spec));
-    if (candidates.length === 0) {
-      return { refusal: "connection_limit" };
-    }
+    return candidates.length === 0
+      ? { refusal: "connection_limit" }
+      : candidates;
+  }
+
+  /** Why a request that no endpoint has had is refused, if it is. */
+  #overload(
+    { spec, tried, urgency }: ChoiceRequest,
+    candidates: readonly Endpoint[],
+  ): { refusal: NoChoice; waitMs: number } | undefined {
+    return tried.size > 0 ? undefined : this.#options.guard.judge({
+      service: spec.name,
+      ...urgency,
+      candidates,
+    });
+  }
+
+  #place({ spec, prompt }: ChoiceRequest, candidates: Endpoint[]): Choice {
+    const { registry, policy, coldGate } = this.#options;
     const members = registry.members(spec.name);
     const { endpoint, copyFrom } = policy.place({
       service: spec.name,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -10,6 +10,7 @@
   LastSharedPolicy,
   LeastLoadedPolicy,
 } from "./baseline_policies.ts";
+export { AccountLoads } from "./account_loads.ts";
 export { type ColdLimits, ColdStartGate } from "./cold_start_gate.ts";
 export {
   type CrashReport,
@@ -42,6 +43,12 @@
   PrefixHolders,
   type PrefixHoldersOptions,
 } from "./prefix_holders.ts";
+export {
+  OverloadGuard,
+  type OverloadRefusal,
+  type OverloadRequest,
+} from "./overload_guard.ts";
+export { ServicePace } from "./service_pace.ts";
 export { PrefixPolicy, type PrefixPolicyOptions } from "./prefix_policy.ts";
 export type { PromptFacts, PromptPart } from "./prompt_facts.ts";
 export { RetryAllowance, type RetryLimits } from "./retry_allowance.ts";
--- a/packages/dispatch/tests/attempt_policy_test.ts
+++ b/packages/dispatch/tests/attempt_policy_test.ts
@@ -11,6 +11,7 @@
     kind,
     resumable,
     timeoutMs: 1_000,
+    targetLatencyMs: undefined,
     priority: 0,
     maxAttempts,
     isPublic: false,
--- a/packages/relay/src/call_relay.ts
+++ b/packages/relay/src/call_relay.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@limpetshed/base";
 import {
+  type AccountLoads,
   type Choice,
   type CrashSuspects,
   type Endpoint,
@@ -10,10 +11,11 @@
   type NoChoice,
   type RetryAllowance,
   type SendOutcome,
+  type ServicePace,
   type SuspicionList,
 } from "@limpetshed/dispatch";
 import { RouterError } from "@limpetshed/errors";
-import type { ServiceSpec } from "@limpetshed/routing";
+import type { RouteTable } from "@limpetshed/routing";
 import type { AnswerSink } from "./answer_sink.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import { EventFramer } from "./event_framer.ts";
@@ -30,11 +32,13 @@
   suspicion: SuspicionList;
   allowance: RetryAllowance;
   crashes: CrashSuspects;
+  pace: ServicePace;
+  accounts: AccountLoads;
   pool: ConnectionPool;
   format: WireFormat;
   observer: RelayObserver;
-  /** What the configuration in force says of a service. */
-  serviceOf: (name: string) => ServiceSpec | undefined;
+  /** The configuration in force. */
+  table: () => RouteTable | undefined;
 }
 
 /** After this time an endpoint that is full or away has likely changed, and
@@ -115,7 +119,7 @@
       onHead: (headMs) => this.#options.suspicion.timed(endpoint.key, headMs),
       wantsRepeat: () => this.#wantsRepeat(call, endpoint),
     });
-    const result = await attempt.result;
+    const result = await this.#occupying(call, attempt);
     this.#note(call, endpoint, result);
     this.#options.observer.sent({
       call,
@@ -128,24 +132,55 @@
     return result;
   }
 
+  /** Counts the request at its service until the send has ended. */
+  async #occupying(
+    { service, account = "" }: RelayCall,
+    attempt: SendAttempt,
+  ): Promise<SendResult> {
+    const { accounts, pace, clock } = this.#options;
+    const startMs = clock.monotonicMs();
+    accounts.begin(service, account);
+    const result = await attempt.result;
+    accounts.end(service, account);
+    if (mayHaveRun(result.outcome)) {
+      pace.note(service, clock.monotonicMs() - startMs);
+    }
+    return result;
+  }
+
   #place(call: RelayCall): Exclude<Choice, { refusal: NoChoice }> {
-    const { chooser, serviceOf, observer, crashes } = this.#options;
+    const choice = this.#choose(call);
+    if ("refusal" in choice) {
+      this.#options.observer.notPlaced(call, choice.refusal);
+      throw placeError(call, choice.refusal, choice.waitMs);
+    }
+    return choice;
+  }
+
+  #choose(call: RelayCall): Choice {
+    const { chooser, crashes, clock } = this.#options;
     const refusedMs = crashes.hasAny
       ? crashes.refusedForMs(call.fingerprint())
       : 0;
     if (refusedMs > 0) {
-      observer.notPlaced(call, "crash_suspect");
-      throw placeError(call, "crash_suspect", refusedMs);
+      return { refusal: "crash_suspect", waitMs: refusedMs };
     }
-    const spec = serviceOf(call.service);
-    const choice: Choice = spec === undefined
-      ? { refusal: "none_in_service" }
-      : chooser.choose({ spec, prompt: call.prompt, tried: call.tried });
-    if ("refusal" in choice) {
-      observer.notPlaced(call, choice.refusal);
-      throw placeError(call, choice.refusal);
+    const table = this.#options.table();
+    const spec = table?.service(call.service);
+    if (table === undefined || spec === undefined) {
+      return { refusal: "none_in_service" };
     }
-    return choice;
+    return chooser.choose({
+      spec,
+      prompt: call.prompt,
+      tried: call.tried,
+      urgency: {
+        account: call.account,
+        priority: call.priority,
+        targetLatencyMs: table.targetLatencyMs(call.service),
+        leftMs: call.endsMs - clock.monotonicMs(),
+      },
+    });
   }
 
   /** Notes a failure of the endpoint; whether the call is to be tried elsewhere
@@ -219,7 +254,7 @@
 function placeError(
   call: RelayCall,
   reason: NoChoice,
-  retryAfterMs = RETRY_AFTER_MS,
+  waitMs = 0,
 ): RouterError {
   if (call.mayHaveRun) {
     return new RouterError("endpoint_failed", "no endpoint is left to try");
@@ -228,7 +263,7 @@
   return new RouterError(
     isRetried ? "endpoint_unreachable" : "no_endpoint",
     `no endpoint can take the request: ${reason}`,
-    { retryAfterMs },
+    { retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) },
   );
 }
 
--- a/packages/relay/src/front_server.ts
+++ b/packages/relay/src/front_server.ts
@@ -180,6 +180,7 @@
       service: pickTarget(route.targets, fraction()) ?? "",
       configVersion: table.version,
       account: account?.name,
+      priority: account?.priority ?? route.priority,
       prompt: facts.prompt,
       fingerprint: lazyFingerprint({
         account: account?.name,
--- a/packages/relay/src/relay_call.ts
+++ b/packages/relay/src/relay_call.ts
@@ -29,6 +29,8 @@
   /** Version of the configuration that routed it. */
   configVersion: number;
   account: string | undefined;
+  /** Rank, 0 is most urgent. */
+  priority: number;
   prompt: PromptFacts | undefined;
   /** The same for every repeat of the request, also at other nodes; worked out
    * when first asked for. */
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -1,5 +1,6 @@
 import { type Clock, sleep } from "@limpetshed/base";
 import {
+  AccountLoads,
   type ColdLimits,
   ColdStartGate,
   CrashSuspects,
@@ -8,9 +9,11 @@
   type EndpointPolicy,
   EndpointRegistry,
   LoadBoard,
+  OverloadGuard,
   PrefixHolders,
   RetryAllowance,
   type RetryLimits,
+  ServicePace,
   SuspicionList,
 } from "@limpetshed/dispatch";
 import type { Logger } from "@limpetshed/observe";
@@ -63,6 +66,8 @@
   readonly #options: RelayNodeOptions;
   readonly #pool: ConnectionPool;
   readonly #suspicion: SuspicionList;
+  readonly #pace = new ServicePace();
+  readonly #accounts = new AccountLoads();
   readonly #coldGate: ColdStartGate;
   readonly #front: FrontServer;
   readonly #ready: ReadinessServer;
@@ -186,7 +191,9 @@
       pool: this.#pool,
       format,
       observer,
-      serviceOf: (name) => this.config.table?.service(name),
+      pace: this.#pace,
+      accounts: this.#accounts,
+      table: () => this.config.table,
     });
   }
 
@@ -199,6 +206,11 @@
       policy: makePolicy({ board, holders, registry }),
       coldGate: this.#coldGate,
       suspicion: this.#suspicion,
+      guard: new OverloadGuard({
+        board,
+        pace: this.#pace,
+        accounts: this.#accounts,
+      }),
       isConnectionLimitReached: (address, { maxConnections }) => {
         const share = CONNECTION_PART * maxConnections / nodeIds().length;
         return this.#pool.openCount(address) >= Math.max(1, Math.floor(share));
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -171,6 +171,7 @@
         kind,
         resumable,
         timeoutMs,
+        targetLatencyMs: undefined,
         priority: 0,
         maxAttempts: 2,
         isPublic: false,
--- a/packages/routing/src/route_table.ts
+++ b/packages/routing/src/route_table.ts
@@ -14,6 +14,7 @@
   readonly #routes = new Map<string, Map<string, Route>>();
   readonly #services = new Map<string, ServiceSpec>();
   readonly #accounts = new Map<string, ClientAccount>();
+  readonly #targets = new Map<string, number>();
 
   constructor(config: RoutingConfig) {
     this.version = config.version;
@@ -26,6 +27,7 @@
         this.#routes.set(route.host, prefixes);
       }
       prefixes.set(route.prefix, route);
+      this.#noteTarget(route);
     }
     for (const service of config.services) {
       this.#services.set(service.name, service);
@@ -65,10 +67,28 @@
     return this.#services.get(name);
   }
 
+  /** Shortest target latency of the routes to the service, milliseconds;
+   * infinite if no route names one. */
+  targetLatencyMs(service: string): number {
+    return this.#targets.get(service) ?? Number.POSITIVE_INFINITY;
+  }
+
   /** All services. */
   services(): Iterable<ServiceSpec> {
     return this.#services.values();
   }
+
+  #noteTarget({ targets, targetLatencyMs }: Route): void {
+    if (targetLatencyMs !== undefined) {
+      for (const { service } of targets) {
+        const shortest = Math.min(
+          this.targetLatencyMs(service),
+          targetLatencyMs,
+        );
+        this.#targets.set(service, shortest);
+      }
+    }
+  }
 }
 
 function withoutPort(host: string): string {
--- a/packages/routing/src/routing_config.ts
+++ b/packages/routing/src/routing_config.ts
@@ -21,6 +21,9 @@
   resumable: boolean;
   /** Longest time a caller may be kept, milliseconds. */
   timeoutMs: number;
+  /** Time within which callers want the start of an answer, milliseconds;
+   * undefined if they do not say. */
+  targetLatencyMs: number | undefined;
   /** Rank, 0 is most urgent. */
   priority: number;
   /** Most endpoints that one request may be sent to. */
--- a/packages/routing/tests/route_table_test.ts
+++ b/packages/routing/tests/route_table_test.ts
@@ -13,6 +13,7 @@
     kind: "safe",
     resumable: false,
     timeoutMs: 1_000,
+    targetLatencyMs: undefined,
     priority: 0,
     maxAttempts: 1,
     isPublic: false,
