fix(relay): headMs is the time to the head, not to the end

Cause: it was read when a send had ended, so that the log's headMs and the histogram limpetshed_answer_head_seconds told the whole time of a stream. Test failed before.

--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -59,6 +59,7 @@
   #isSent = false;
   #sentMs = 0;
   #head: AnswerHead | undefined;
+  #headMs: number | undefined;
   #ended = false;
 
   constructor(options: SendAttemptOptions) {
@@ -90,6 +91,7 @@
 
   onHead(head: AnswerHead): void {
     this.#head = head;
+    this.#headMs = this.#options.now() - this.#sentMs;
     const { format, board, endpoint, call } = this.#options;
     const facts = format.readAnswer(head.status, head.headers);
     const isOurs = facts.requestId === call.requestId;
@@ -106,7 +108,7 @@
       return;
     }
     this.#mode = "relaying";
-    this.#options.onHead(this.#options.now() - this.#sentMs);
+    this.#options.onHead(this.#headMs);
     if (!this.#options.sink.isStarted) {
       const hop = hopHeaders(head.headers.connection);
       this.#options.sink.start(
@@ -239,14 +241,11 @@
   }
 
   #settle(outcome: SendOutcome, reason?: string): void {
-    const headMs = this.#head === undefined
-      ? undefined
-      : this.#options.now() - this.#sentMs;
     this.#result.resolve({
       outcome,
       status: this.#head?.status,
       reason,
-      headMs,
+      headMs: this.#headMs,
     });
     this.#mode = "settled";
   }
--- a/packages/relay/tests/relay_test.ts
+++ b/packages/relay/tests/relay_test.ts
@@ -243,6 +243,27 @@
     expect(got.isWhole).to.equal(true);
   });
 
+  it("tells the time to the head of an answer from the time to its end", async () => {
+    let end = () => {};
+    await fixture.start((seen, res) => {
+      streamHead(seen, res);
+      res.write(event(1));
+      end = () => res.end(event(2));
+    });
+    const req = fixture.open("/chat/");
+    req.end("hello");
+    const [res] = await once(req, "response") as [IncomingMessage];
+    const apartMs = 50;
+    setTimeout(() => end(), apartMs);
+    expect((await collect(res)).body).to.equal(all(2));
+    const line = (name: string) =>
+      fixture.lines.map((text) => JSON.parse(text) as Record<string, number>)
+        .find(({ event }) => String(event) === name)!;
+    // Both figures are rounded, and timers may fire a millisecond early.
+    expect(line("answered")["durationMs"]! - line("send")["headMs"]!)
+      .to.be.above(apartMs - 3);
+  });
+
   it("resumes a stream elsewhere after the last whole event", async () => {
     await fixture.start((seen, res, socket) => {
       streamHead(seen, res);
