feat(dispatch): a request goes only where it does not wait too long; busy texts stay

Cause: the guard looked at the shortest wait, while the request was placed by its text, often where the wait was longer; and with every endpoint above seven eighths of its places no holder counted, so that texts moved.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -4,6 +4,7 @@
 import type { EndpointPolicy } from "./endpoint_policy.ts";
 import type { Endpoint, EndpointRegistry } from "./endpoint_registry.ts";
 import type {
+  Admission,
   OverloadGuard,
   OverloadRefusal,
   OverloadRequest,
@@ -74,7 +75,10 @@
     if ("refusal" in candidates) {
       return candidates;
     }
-    return this.#overload(req, candidates) ?? this.#place(req, candidates);
+    const admission = this.#admit(req, candidates);
+    return "refusal" in admission
+      ? admission
+      : this.#place(req, admission.endpoints);
   }
 
   /** Endpoints that may be tried now, or why there are none. */
@@ -100,19 +104,24 @@
       : candidates;
   }
 
-  /** Why a request that no endpoint has had is refused, if it is. */
-  #overload(
+  /** A request that an endpoint has had already is not refused any more. */
+  #admit(
     { spec, tried, urgency }: ChoiceRequest,
     candidates: readonly Endpoint[],
-  ): { refusal: NoChoice; waitMs: number } | undefined {
-    return tried.size > 0 ? undefined : this.#options.guard.judge({
-      service: spec.name,
-      ...urgency,
-      candidates,
-    });
+  ): Admission {
+    return tried.size > 0
+      ? { endpoints: candidates }
+      : this.#options.guard.admit({
+        service: spec.name,
+        ...urgency,
+        candidates,
+      });
   }
 
-  #place({ spec, prompt }: ChoiceRequest, candidates: Endpoint[]): Choice {
+  #place(
+    { spec, prompt }: ChoiceRequest,
+    candidates: readonly Endpoint[],
+  ): Choice {
     const { registry, policy, coldGate } = this.#options;
     const members = registry.members(spec.name);
     const { endpoint, copyFrom } = policy.place({
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -44,6 +44,7 @@
   type PrefixHoldersOptions,
 } from "./prefix_holders.ts";
 export {
+  type Admission,
   OverloadGuard,
   type OverloadRefusal,
   type OverloadRequest,
--- a/packages/dispatch/src/overload_guard.ts
+++ b/packages/dispatch/src/overload_guard.ts
@@ -12,6 +12,11 @@
   /** The same, and its account has more than its share in flight. */
   | "above_share";
 
+/** The endpoints where a request is served in time, or why it is refused. */
+export type Admission =
+  | { endpoints: readonly Endpoint[] }
+  | { refusal: OverloadRefusal; waitMs: number };
+
 /** A request before it is placed. */
 export interface OverloadRequest {
   service: string;
@@ -53,40 +58,45 @@
     this.#accounts = accounts;
   }
 
-  /** Why the request is refused, and for how long; undefined if it is not. */
-  judge(
-    req: OverloadRequest,
-  ): { refusal: OverloadRefusal; waitMs: number } | undefined {
-    const waitMs = this.#waitMs(req);
-    if (waitMs === 0) {
-      return undefined;
+  /** Leaves the endpoints where the request waits no longer than it may. */
+  admit(req: OverloadRequest): Admission {
+    const meanMs = this.#pace.meanHeldMs(req.service);
+    const waits = req.candidates.map((endpoint) => ({
+      endpoint,
+      waitMs: this.#waitMs(endpoint, meanMs),
+    }));
+    if (waits.every(({ waitMs }) => waitMs === 0)) {
+      return { endpoints: req.candidates };
     }
+    const isAbove = req.account !== undefined &&
+      this.#accounts.isAboveShare(req.service, req.account);
+    const allowedMs = this.#allowedMs(req, isAbove);
+    const endpoints = waits.filter(({ waitMs }) => waitMs <= allowedMs)
+      .map(({ endpoint }) => endpoint);
+    if (endpoints.length > 0) {
+      return { endpoints };
+    }
+    const waitMs = Math.min(...waits.map((wait) => wait.waitMs));
     if (waitMs >= req.leftMs) {
       return { refusal: "hopeless", waitMs };
     }
-    const isAbove = req.account !== undefined &&
-      this.#accounts.isAboveShare(req.service, req.account);
-    const rank = Math.min(Math.floor(req.priority), WAIT_PARTS.length - 1);
-    const allowedMs = WAIT_PARTS[rank]! * req.targetLatencyMs *
-      (isAbove ? ABOVE_SHARE_PART : 1);
-    return waitMs <= allowedMs
-      ? undefined
-      : { refusal: isAbove ? "above_share" : "overloaded", waitMs };
+    return { refusal: isAbove ? "above_share" : "overloaded", waitMs };
   }
 
-  /** Shortest wait for a place, milliseconds. With `load` requests at an
-   * endpoint, each there for the mean time, one leaves every `mean / load`. */
-  #waitMs({ service, candidates }: OverloadRequest): number {
-    const meanMs = this.#pace.meanHeldMs(service);
-    let shortest = Number.POSITIVE_INFINITY;
-    for (const { key, entry } of candidates) {
-      const load = this.#board.total(key);
-      if (load < entry.slots) {
-        return 0;
-      }
-      const ahead = load - entry.slots + 1;
-      shortest = Math.min(shortest, ahead / load * meanMs);
-    }
-    return shortest;
+  #allowedMs(
+    { priority, targetLatencyMs, leftMs }: OverloadRequest,
+    isAbove: boolean,
+  ): number {
+    const rank = Math.min(Math.floor(priority), WAIT_PARTS.length - 1);
+    const part = WAIT_PARTS[rank]! * (isAbove ? ABOVE_SHARE_PART : 1);
+    return Math.min(part * targetLatencyMs, leftMs);
+  }
+
+  /** Wait for a place, milliseconds. With `load` requests at an endpoint, each
+   * there for the mean time, one leaves every `mean / load`. */
+  #waitMs({ key, entry }: Endpoint, meanMs: number): number {
+    const load = this.#board.total(key);
+    const ahead = load - entry.slots + 1;
+    return ahead <= 0 ? 0 : ahead / load * meanMs;
   }
 }
--- a/packages/dispatch/src/prefix_policy.ts
+++ b/packages/dispatch/src/prefix_policy.ts
@@ -77,11 +77,14 @@
     { candidates }: PolicyRequest,
     { holding, bound }: { holding: ReadonlySet<string>; bound: number },
   ): Endpoint | undefined {
-    const fitting = candidates.filter(({ key, entry }) => {
-      const load = this.board.total(key);
-      return holding.has(key) && load + 1 <= bound &&
-        load < BUSY_PART * entry.slots;
-    });
+    const hasRoom = ({ key, entry }: Endpoint) =>
+      this.board.total(key) < BUSY_PART * entry.slots;
+    const isAnyFree = candidates.some(hasRoom);
+    const fitting = candidates.filter((candidate) =>
+      holding.has(candidate.key) &&
+      this.board.total(candidate.key) + 1 <= bound &&
+      (hasRoom(candidate) || !isAnyFree)
+    );
     return fitting.length === 0 ? undefined : this.leastLoaded(fitting);
   }
 
--- a/packages/dispatch/tests/overload_guard_test.ts
+++ b/packages/dispatch/tests/overload_guard_test.ts
@@ -94,7 +94,7 @@
       inTime: 0,
     };
     tally.asked += 1;
-    const refusal = guarded && guard.judge({
+    const admission = guard.admit({
       service: SERVICE,
       account: arrival.account,
       priority: arrival.priority,
@@ -102,7 +102,7 @@
       leftMs: LEFT_MS,
       candidates: registry.usable(SERVICE),
     });
-    if (refusal) {
+    if (guarded && "refusal" in admission) {
       tally.refused += 1;
       return;
     }
--- a/packages/dispatch/tests/prefix_policy_test.ts
+++ b/packages/dispatch/tests/prefix_policy_test.ts
@@ -7,6 +7,7 @@
 import { PrefixHolders } from "../src/prefix_holders.ts";
 import { PrefixPolicy } from "../src/prefix_policy.ts";
 import type { PromptFacts } from "../src/prompt_facts.ts";
+import { rankEndpoints } from "../src/rank_endpoints.ts";
 import { entry, prompt, ready } from "./fixtures.ts";
 
 /** A node's view; several share a registry, as nodes share the store. */
@@ -133,6 +134,20 @@
     }
   });
 
+  it("keeps texts where they are when every endpoint is busy", () => {
+    const { registry, first } = fleet(0);
+    for (let at = 0; at < 4; at += 1) {
+      registry.put(entry(`e${at}`, { slots: 8 }));
+    }
+    const members = registry.members("model");
+    const home = rankEndpoints("t1", members).at(-1)!;
+    first.holders.heard([{ partId: "t1", endpoint: home.key }]);
+    for (const { key } of members) {
+      Array.from({ length: 8 }, () => first.board.begin(key));
+    }
+    expect(first.place(prompt("t1")).endpoint.key).to.equal(home.key);
+  });
+
   it("counts endpoints out of service for the mean", () => {
     const { registry, first } = fleet(9);
     registry.put(entry("e0", { state: "leaving" }));
