feat(fleet): what nodes tell stays bounded in large fleets

A text is told when it gets a new holder, then every 15 s; a follower of another node goes on from where it was; a starting node asks the store first; ages follow the time it takes to tell every node.

--- a/packages/dispatch/src/load_board.ts
+++ b/packages/dispatch/src/load_board.ts
@@ -1,8 +1,8 @@
 import type { Clock } from "@limpetshed/base";
 
-/** How long a figure of other nodes' requests is believed, milliseconds: some
- * exchanges between nodes, or the time of a short chat. */
-const OTHERS_MAX_AGE_MS = 1_500;
+/** How long an endpoint's own figure is believed, milliseconds: the time of a
+ * short chat. */
+const REPORT_MAX_AGE_MS = 1_500;
 
 interface Load {
   own: number;
@@ -78,7 +78,7 @@
       return told;
     }
     const age = this.#clock.monotonicMs() - load.reportedAtMs;
-    const reported = age <= OTHERS_MAX_AGE_MS ? load.reportedOthers : 0;
+    const reported = age <= REPORT_MAX_AGE_MS ? load.reportedOthers : 0;
     return load.own + Math.max(told, reported);
   }
 
@@ -90,9 +90,10 @@
     }
   }
 
-  /** Drops figures of nodes that have not told any for a while. */
-  expirePeers(): void {
-    const oldest = this.#clock.monotonicMs() - OTHERS_MAX_AGE_MS;
+  /** Drops figures of nodes that have not told any for `maxAgeMs`
+   * milliseconds. */
+  expirePeers(maxAgeMs: number): void {
+    const oldest = this.#clock.monotonicMs() - maxAgeMs;
     for (const [node, { atMs }] of this.#peers) {
       if (atMs < oldest) {
         this.#peers.delete(node);
--- a/packages/dispatch/src/prefix_holders.ts
+++ b/packages/dispatch/src/prefix_holders.ts
@@ -23,6 +23,16 @@
 const MAX_SNAPSHOT = 5_000;
 /** Endpoints keep what they used in the last minute unless memory is short. */
 const HOLD_MS = 60_000;
+/** What all nodes were told is told again after this time, milliseconds; a
+ * quarter of the time for which it counts, so that a lost datagram or two do
+ * not matter. */
+const RETELL_MS = 15_000;
+
+interface Holding {
+  usedMs: number;
+  /** When this node last told it or was told. */
+  toldMs: number;
+}
 
 /**
  * Which endpoints hold which parts of prompts, from what this node and others
@@ -32,7 +42,7 @@
 export class PrefixHolders {
   readonly #clock: Clock;
   readonly #holdMs: number;
-  readonly #parts: LRUCache<string, Map<string, number>>;
+  readonly #parts: LRUCache<string, Map<string, Holding>>;
   #news: HeldPart[] = [];
 
   constructor(
@@ -45,16 +55,22 @@
 
   /** Notes that this node sent a prompt with the part to an endpoint. */
   sent(held: HeldPart): void {
-    this.#note(held);
-    this.#news.push(held);
+    const holding = this.#use(held);
+    if (holding.usedMs - holding.toldMs >= RETELL_MS) {
+      holding.toldMs = holding.usedMs;
+      this.#news.push(held);
+    }
   }
 
   /** Notes what another node sent. */
   heard(held: readonly HeldPart[]): void {
-    held.forEach((part) => this.#note(part));
+    for (const part of held) {
+      const holding = this.#use(part);
+      holding.toldMs = holding.usedMs;
+    }
   }
 
-  /** What this node sent since the last call. */
+  /** What the other nodes do not know yet of what this node sent. */
   takeNews(): HeldPart[] {
     const news = this.#news;
     this.#news = [];
@@ -79,7 +95,7 @@
   holders(partId: string): ReadonlySet<string> {
     const oldest = this.#clock.monotonicMs() - this.#holdMs;
     const found = new Set<string>();
-    for (const [endpoint, usedMs] of this.#parts.peek(partId) ?? []) {
+    for (const [endpoint, { usedMs }] of this.#parts.peek(partId) ?? []) {
       if (usedMs >= oldest) {
         found.add(endpoint);
       }
@@ -92,12 +108,16 @@
     this.#parts.get(partId)?.delete(endpoint);
   }
 
-  #note({ partId, endpoint }: HeldPart): void {
+  #use({ partId, endpoint }: HeldPart): Holding {
     let endpoints = this.#parts.get(partId);
     if (endpoints === undefined) {
       endpoints = new Map();
       this.#parts.set(partId, endpoints);
     }
-    endpoints.set(endpoint, this.#clock.monotonicMs());
+    const holding = endpoints.get(endpoint) ??
+      { usedMs: 0, toldMs: Number.NEGATIVE_INFINITY };
+    holding.usedMs = this.#clock.monotonicMs();
+    endpoints.set(endpoint, holding);
+    return holding;
   }
 }
--- a/packages/dispatch/tests/load_board_test.ts
+++ b/packages/dispatch/tests/load_board_test.ts
@@ -31,7 +31,7 @@
     const board = new LoadBoard({ clock });
     board.setPeer("n2", new Map([["e1", 2]]));
     await clock.advance(2_000);
-    board.expirePeers();
+    board.expirePeers(1_500);
     expect(board.total("e1")).to.equal(0);
   });
 
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -9,6 +9,7 @@
 import type { Logger } from "@limpetshed/observe";
 import { decodeLoadMessage, encodeLoadMessage } from "./load_message.ts";
 import type { Peer, PeerDirectory } from "./peer_directory.ts";
+import { FANOUT, ROUND_MS, roundsToTell } from "./telling.ts";
 import type { StorePath } from "./watch_duty.ts";
 
 /** Options of {@linkcode LoadExchange}. */
@@ -39,14 +40,6 @@
   onCrashed: (crashed: readonly string[]) => void;
 }
 
-/** Pause between rounds. A short chat takes a second, so that a figure a fifth
- * of that old is worth deciding by. */
-const ROUND_MS = 200;
-/** Nodes told in one round; with more, they take turns, so that the traffic of
- * a node does not grow with the fleet: 50 datagrams a second of some 150 bytes
- * are two thirds of what the target allows for control. */
-const FANOUT = 10;
-
 /** What happened in one round, as pairs. */
 interface News {
   placed: string[];
@@ -104,7 +97,7 @@
     const { nodeId, incarnation, ownCounts, asOf, directory } = this.#options;
     const { takePlaced, takeCrashed } = this.#options;
     this.#round += 1;
-    const rounds = Math.max(1, Math.ceil(directory.all().length / FANOUT));
+    const rounds = roundsToTell(directory.all().length);
     const news = { placed: takePlaced(), crashed: takeCrashed() };
     this.#news = [news, ...this.#news].slice(0, rounds);
     const datagrams = encodeLoadMessage({
--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -36,6 +36,15 @@
     return this.next(0, options);
   }
 
+  /** Another node keeps its changes through outages of the store and of
+   * itself, or says that it has not. */
+  override resume(
+    revision: number,
+    options: { signal: AbortSignal },
+  ): Promise<Snapshot | ChangeBatch> {
+    return this.next(revision, options);
+  }
+
   async next(
     revision: number,
     { signal }: { signal: AbortSignal },
--- a/packages/fleet/src/peer_directory.ts
+++ b/packages/fleet/src/peer_directory.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@limpetshed/base";
+import { ROUND_MS, roundsToTell } from "./telling.ts";
 import type { StorePath } from "./watch_duty.ts";
 
 /** Where a node can be reached. */
@@ -22,8 +23,10 @@
 }
 
 /** A node that has been silent for longer is not counted on, milliseconds;
- * several datagrams. */
-const SILENT_MS = 1_500;
+ * several datagrams of a small fleet. */
+const MIN_SILENT_MS = 1_500;
+/** Datagrams that may be missed in a larger fleet. */
+const MISSED_DATAGRAMS = 3;
 
 /** The other nodes of the fleet. */
 export class PeerDirectory {
@@ -82,9 +85,15 @@
     return [...this.#peers.values()];
   }
 
+  /** Silence after which a node is not counted on, milliseconds. */
+  get silentMs(): number {
+    const tellingMs = ROUND_MS * roundsToTell(this.#peers.size);
+    return Math.max(MIN_SILENT_MS, MISSED_DATAGRAMS * tellingMs);
+  }
+
   /** Nodes heard lately. */
   live(): readonly Peer[] {
-    const oldest = this.#clock.monotonicMs() - SILENT_MS;
+    const oldest = this.#clock.monotonicMs() - this.silentMs;
     return this.all().filter(({ heardMs }) => heardMs >= oldest);
   }
 
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -117,7 +117,8 @@
       logger,
       ...options.registration,
     });
-    this.#housekeeping = repeat(clock, () => this.#node.board.expirePeers(), {
+    const tidy = () => this.#node.board.expirePeers(this.#directory.silentMs);
+    this.#housekeeping = repeat(clock, tidy, {
       everyMs: HOUSEKEEPING_MS,
       onError: (err) => logger.error({ event: "housekeeping", err }),
     });
--- a/packages/fleet_relay/src/state_sources.ts
+++ b/packages/fleet_relay/src/state_sources.ts
@@ -25,6 +25,10 @@
 /** A node that is behind for longer asks its peers; news from the store
  * arrive at all nodes within some milliseconds. */
 const BEHIND_MS = 200;
+/** A node that starts asks other nodes if the store has not answered by then,
+ * milliseconds; many times what it takes when it is well. So a fleet that
+ * starts at once does not press the few nodes that settings name. */
+const STORE_FIRST_MS = 300;
 /** How long a failed path to the store counts as lost before it is tried
  * again where other nodes have a path. */
 const LOST_PATH_MS = 5_000;
@@ -34,11 +38,13 @@
   readonly #options: StateSourcesOptions;
   #seeds: readonly string[];
   #store: MirrorFollower | undefined;
+  readonly #startedMs: number;
   #behindSinceMs: number | undefined;
 
   constructor(options: StateSourcesOptions) {
     this.#options = options;
     this.#seeds = options.seeds;
+    this.#startedMs = options.clock.monotonicMs();
   }
 
   /** Sets the follower of the store, which is made after this. */
@@ -69,10 +75,13 @@
 
   /** Whether this node learns of changes from other nodes. */
   get needsPeers(): boolean {
+    const { clock, directory, mirror } = this.#options;
+    if (mirror.asOf === 0 && this.storePath === "unknown") {
+      return clock.monotonicMs() - this.#startedMs >= STORE_FIRST_MS;
+    }
     if (!this.hasWatchDuty || this.storePath !== "open") {
       return true;
     }
-    const { clock, directory, mirror } = this.#options;
     const newest = directory.newest()?.asOf ?? 0;
     if (newest <= mirror.asOf) {
       this.#behindSinceMs = undefined;
--- a/packages/fleet_relay/tests/state_sources_test.ts
+++ b/packages/fleet_relay/tests/state_sources_test.ts
@@ -45,12 +45,24 @@
 describe("StateSources", () => {
   before(() => initHashing());
 
-  it("asks the store, and the seeds, when nothing is known", () => {
-    const { sources } = setUp();
+  it("asks the store first, then the seeds too, when it starts", async () => {
+    const { clock, follower, sources } = setUp();
+    follower.isReachable = false;
     expect(sources.hasWatchDuty).to.equal(true);
+    expect(sources.needsPeers).to.equal(false);
+    await clock.advance(300);
+    expect(sources.needsPeers).to.equal(true);
     expect(sources.peerToAsk()).to.equal("n9:1");
   });
 
+  it("asks the seeds at once when the store refuses it", async () => {
+    const { clock, follower, sources } = setUp();
+    await clock.advance(10);
+    follower.isReachable = false;
+    follower.lastFailureMs = 10;
+    expect(sources.needsPeers).to.equal(true);
+  });
+
   it("watches the store alone in its zone", () => {
     const { sources, hear, know } = setUp({ zones: "bbbb" });
     know(5);
--- a/packages/mirror/src/change_source.ts
+++ b/packages/mirror/src/change_source.ts
@@ -36,6 +36,17 @@
     options: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot>;
 
+  /**
+   * Goes on from `revision` after the source could not be reached: reads every
+   * key, unless the source tells all changes whatever happened meanwhile.
+   */
+  resume(
+    _revision: number,
+    options: { signal: AbortSignal },
+  ): Promise<ChangeBatch | Snapshot> {
+    return this.readAll(options);
+  }
+
   /** Reads every key. Rejects when the source cannot be reached. */
   abstract readAll(
     options: { signal: AbortSignal },
--- a/packages/mirror/src/key_mirror.ts
+++ b/packages/mirror/src/key_mirror.ts
@@ -46,9 +46,10 @@
     [...this.#waiting].forEach((wake) => wake());
   }
 
-  /** Changes after `revision`, or all entries if those are not kept. */
+  /** Changes after `revision`, or all entries if those are not kept. Nothing
+   * for a follower that knows more. */
   changesAfter(revision: number): ChangeBatch | Snapshot {
-    if (revision < this.#forgotten || revision > this.#asOf) {
+    if (revision < this.#forgotten) {
       const entries = [...this.#entries.values()];
       return { kind: "snapshot", entries, asOf: this.#asOf };
     }
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -93,12 +93,12 @@
 
   async #round(signal: AbortSignal): Promise<void> {
     const { mirror, source } = this.#options;
-    // After a failure everything is read again: the source may have dropped
-    // entries meanwhile without telling those that could not reach it.
-    const readsAll = mirror.asOf === 0 || this.#failures > 0;
-    const update = readsAll
+    const { asOf } = mirror;
+    const update = asOf === 0
       ? await source.readAll({ signal })
-      : await source.next(mirror.asOf, { signal });
+      : this.#failures > 0
+      ? await source.resume(asOf, { signal })
+      : await source.next(asOf, { signal });
     if (this.#failures > 0) {
       this.#lastOutageEndMs = this.#options.clock.monotonicMs();
     }
--- a/packages/mirror/tests/key_mirror_test.ts
+++ b/packages/mirror/tests/key_mirror_test.ts
@@ -79,6 +79,16 @@
     });
   });
 
+  it("sends nothing to a follower that knows more", () => {
+    const { mirror } = watched();
+    mirror.apply({ kind: "snapshot", entries: [put("a", 3)], asOf: 5 });
+    expect(mirror.changesAfter(9)).to.deep.equal({
+      kind: "changes",
+      changes: [],
+      asOf: 5,
+    });
+  });
+
   it("keeps two mirrors the same that follow each other", () => {
     const first = new KeyMirror();
     const second = new KeyMirror();
--- a/packages/mirror/tests/mirror_follower_test.ts
+++ b/packages/mirror/tests/mirror_follower_test.ts
@@ -44,15 +44,21 @@
   }
 }
 
-function follow() {
+function follow(source = new FakeSource()) {
   const clock = new ManualClock();
-  const source = new FakeSource();
   const mirror = new KeyMirror();
   const logger = makeLogger({ level: "silent" });
   const follower = new MirrorFollower({ clock, mirror, source, logger });
   return { clock, source, mirror, follower };
 }
 
+/** A source that tells all changes through failures. */
+class LastingSource extends FakeSource {
+  override resume(revision: number): Promise<ChangeBatch> {
+    return this.next(revision);
+  }
+}
+
 describe("MirrorFollower", () => {
   it("reads everything once, then waits for changes", async () => {
     const { clock, source, mirror, follower } = follow();
@@ -79,6 +85,20 @@
     expect(follower.lastOutageEndMs).to.be.greaterThan(5_000);
   });
 
+  it("reads no more than the changes where the source keeps them", async () => {
+    const { clock, source, follower } = follow(new LastingSource());
+    await clock.advance(10);
+    source.isDown = true;
+    source.wake();
+    await clock.advance(1_000);
+    source.isDown = false;
+    await clock.advance(1_000);
+    source.wake();
+    await clock.advance(10);
+    expect(follower.isReachable).to.equal(true);
+    expect(source.reads).to.equal(1);
+  });
+
   it("does not press a source that is away", async () => {
     const { clock, source } = follow();
     await clock.advance(10);
