feat(fleet_relay): followers form a tree below the watcher of their zone

Cause: every node of a zone followed the one that watches the store, so that its traffic grew with the fleet.

--- a/packages/fleet_relay/src/state_sources.ts
+++ b/packages/fleet_relay/src/state_sources.ts
@@ -2,6 +2,7 @@
 import {
   chooseWatchers,
   type DutyCandidate,
+  type Peer,
   type PeerDirectory,
   type StorePath,
 } from "@limpetshed/fleet";
@@ -33,6 +34,10 @@
  * again where other nodes have a path. */
 const LOST_PATH_MS = 5_000;
 
+/** Nodes that follow one node, so that what a change costs the busiest does
+ * not grow with the fleet. */
+const FOLLOWERS = 8;
+
 /** Decides whether a node watches the store or follows another node. */
 export class StateSources {
   readonly #options: StateSourcesOptions;
@@ -92,21 +97,22 @@
     return now - this.#behindSinceMs >= BEHIND_MS;
   }
 
-  /** Address of the node to ask for changes: one that knows more, else one
-   * that watches the store, a near one first. */
+  /** Address of the node to ask for changes: one that knows more, else the one
+   * before this in its zone, else one that watches the store. */
   peerToAsk(): string | undefined {
-    const { directory, mirror, availabilityZone, rng } = this.#options;
+    const { directory, mirror, rng } = this.#options;
     const newest = directory.newest();
     if (newest !== undefined && newest.asOf > mirror.asOf) {
       return newest.calls;
     }
     const live = directory.live();
+    const before = this.#nodeBefore(live);
+    if (before !== undefined) {
+      return before.calls;
+    }
     const watchers = this.#watchers();
     const watching = live.filter(({ id }) => watchers.includes(id));
-    const near = watching.filter((peer) =>
-      peer.availabilityZone === availabilityZone
-    );
-    const known = [near, watching, live, directory.all()]
+    const known = [watching, live, directory.all()]
       .find((peers) => peers.length > 0);
     return known === undefined
       ? rng.pick(
@@ -115,6 +121,20 @@
       : rng.pick(known)?.calls;
   }
 
+  /** The node of this zone that this one follows: the nodes form a tree below
+   * the one that watches the store, in the order in which they take that duty.
+   * Views differ for moments; whoever is behind then asks the newest node. */
+  #nodeBefore(live: readonly Peer[]): Peer | undefined {
+    const { nodeId, availabilityZone } = this.#options;
+    const near = live.filter((peer) =>
+      peer.availabilityZone === availabilityZone && peer.storePath !== "lost"
+    );
+    const ranked = rendezvousRank("watch", [nodeId, ...near.map(idOf)]);
+    const at = ranked.indexOf(nodeId);
+    const before = ranked[Math.floor((at - 1) / FOLLOWERS)];
+    return near.find(({ id }) => id === before);
+  }
+
   /** Ids of the nodes that watch the store, as this node sees the fleet. */
   #watchers(): string[] {
     const { nodeId, availabilityZone, directory } = this.#options;
@@ -129,3 +149,7 @@
     );
   }
 }
+
+function idOf({ id }: Peer): string {
+  return id;
+}
--- a/packages/fleet_relay/tests/state_sources_test.ts
+++ b/packages/fleet_relay/tests/state_sources_test.ts
@@ -8,9 +8,15 @@
 
 const PEERS = ["n1", "n2", "n3", "n4"];
 
-function setUp({ zones = "aaaa" }: { zones?: string } = {}) {
+function setUp(
+  { zones = "aaaa", selfId = "n0", peers = PEERS }: {
+    zones?: string;
+    selfId?: string;
+    peers?: readonly string[];
+  } = {},
+) {
   const clock = new ManualClock();
-  const directory = new PeerDirectory({ clock, selfId: "n0" });
+  const directory = new PeerDirectory({ clock, selfId });
   const mirror = new KeyMirror();
   const follower = {
     isReachable: true,
@@ -19,19 +25,19 @@
   const sources = new StateSources({
     clock,
     rng: new Rng(1),
-    nodeId: "n0",
+    nodeId: selfId,
     availabilityZone: "a",
-    ownAddress: "n0:1",
+    ownAddress: `${selfId}:1`,
     directory,
     mirror,
     seeds: ["n0:1", "n9:1"],
   });
   sources.attach(follower as unknown as MirrorFollower);
   const hear = (asOf: number, storePath: StorePath = "open") =>
-    PEERS.forEach((id, at) => {
+    peers.forEach((id, at) => {
       directory.put({
         id,
-        availabilityZone: zones[at]!,
+        availabilityZone: zones[at % zones.length]!,
         calls: `${id}:1`,
         datagrams: `${id}:2`,
       });
@@ -95,6 +101,24 @@
     expect(PEERS.map((id) => `${id}:1`)).to.include(sources.peerToAsk());
   });
 
+  it("spreads followers so that none has more than a few", () => {
+    const ids = Array.from({ length: 100 }, (_, at) => `n${at}`);
+    const followers = new Map<string, number>();
+    for (const nodeId of ids) {
+      const peers = ids.filter((id) => id !== nodeId);
+      const { sources, know, hear } = setUp({ selfId: nodeId, peers });
+      know(5);
+      hear(5);
+      if (!sources.hasWatchDuty) {
+        const asked = sources.peerToAsk()!;
+        followers.set(asked, (followers.get(asked) ?? 0) + 1);
+      }
+    }
+    const counts = [...followers.values()];
+    expect(Math.max(...counts)).to.be.at.most(8);
+    expect(counts.reduce((sum, count) => sum + count, 0)).to.equal(98);
+  });
+
   it("prefers a watcher of its own zone", async () => {
     const { clock, sources, follower, hear, know } = setUp({ zones: "abcd" });
     know(5);
