--- a/packages/relay/src/call_relay.ts
+++ b/packages/relay/src/call_relay.ts
@@ -151,8 +151,9 @@
   #place(call: RelayCall): Exclude<Choice, { refusal: NoChoice }> {
     const choice = this.#choose(call);
     if ("refusal" in choice) {
-      this.#options.observer.notPlaced(call, choice.refusal);
-      throw placeError(call, choice.refusal, choice.waitMs);
+      const { refusal, waitMs } = choice;
+      this.#options.observer.notPlaced(call, refusal, waitMs);
+      throw placeError(call, refusal, waitMs);
     }
     return choice;
   }
--- a/packages/relay/src/decision_observer.ts
+++ b/packages/relay/src/decision_observer.ts
@@ -78,7 +78,11 @@
     }));
   }
 
-  notPlaced(call: RelayCall, reason: NoChoice): void {
+  notPlaced(
+    call: RelayCall,
+    reason: NoChoice,
+    waitMs: number | undefined,
+  ): void {
     this.#metrics.count("limpetshed_not_placed_total", { reason });
     this.#line("not_placed", () => ({
       requestId: printableId(call.requestId),
@@ -86,6 +90,10 @@
       outcome: reason,
       service: call.service,
       tried: call.tried.size,
+      priority: call.priority,
+      account: call.account,
+      waitMs: waitMs === undefined ? undefined : Math.round(waitMs),
+      leftMs: Math.round(call.endsMs - this.#clock.monotonicMs()),
       configVersion: call.configVersion,
     }));
   }
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -23,8 +23,12 @@
   /** A call goes to a further endpoint. */
   abstract repeated(call: RelayCall, outcome: SendOutcome): void;
 
-  /** No endpoint could be chosen. */
-  abstract notPlaced(call: RelayCall, reason: NoChoice): void;
+  /** No endpoint could be chosen; `waitMs` is how long that may last. */
+  abstract notPlaced(
+    call: RelayCall,
+    reason: NoChoice,
+    waitMs: number | undefined,
+  ): void;
 
   /** A call has been answered whole; the duration is in milliseconds. */
   abstract answered(call: RelayCall, durationMs: number): void;
