--- /dev/null
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -0,0 +1,101 @@
+import { ManualClock } from "@limpetshed/base";
+import { expect } from "chai";
+import { before, describe, it } from "mocha";
+import { AccountLoads } from "../src/account_loads.ts";
+import { LeastLoadedPolicy } from "../src/baseline_policies.ts";
+import { ColdStartGate } from "../src/cold_start_gate.ts";
+import {
+  type ChoiceRequest,
+  EndpointChooser,
+} from "../src/endpoint_chooser.ts";
+import { EndpointRegistry } from "../src/endpoint_registry.ts";
+import { LoadBoard } from "../src/load_board.ts";
+import { OverloadGuard } from "../src/overload_guard.ts";
+import { ServicePace } from "../src/service_pace.ts";
+import { SuspicionList } from "../src/suspicion_list.ts";
+import { entry, ready, spec } from "./fixtures.ts";
+
+const SLOTS = 4;
+const MEAN_HELD_MS = 1_000;
+
+/** Two endpoints whose requests take a second each, at the loads given. */
+function setUp(loads: Record<string, number>) {
+  const clock = new ManualClock();
+  const registry = new EndpointRegistry({ clock });
+  const board = new LoadBoard({ clock });
+  const pace = new ServicePace();
+  pace.note("model", MEAN_HELD_MS);
+  for (const [id, load] of Object.entries(loads)) {
+    const { key } = registry.put(entry(id, { slots: SLOTS }));
+    Array.from({ length: load }, () => board.begin(key));
+  }
+  const chooser = new EndpointChooser({
+    clock,
+    registry,
+    policy: new LeastLoadedPolicy({ board }),
+    coldGate: new ColdStartGate({
+      clock,
+      limits: { overage: 1, slack: 0 },
+      nodeId: "n1",
+      nodeIds: () => ["n1"],
+    }),
+    suspicion: new SuspicionList({ clock }),
+    guard: new OverloadGuard({ board, pace, accounts: new AccountLoads() }),
+    isConnectionLimitReached: () => false,
+  });
+  const choose = (
+    urgency: Partial<ChoiceRequest["urgency"]> = {},
+    tried: readonly string[] = [],
+  ) => {
+    const choice = chooser.choose({
+      spec: spec(),
+      prompt: undefined,
+      tried: new Set(tried),
+      urgency: {
+        account: "a",
+        priority: 0,
+        targetLatencyMs: 300,
+        leftMs: 5_000,
+        ...urgency,
+      },
+    });
+    return "refusal" in choice ? choice.refusal : choice.endpoint.entry.id;
+  };
+  return { choose };
+}
+
+describe("EndpointChooser when places run out", () => {
+  before(() => ready);
+
+  it("takes a place that is free", () => {
+    const { choose } = setUp({ e1: 4, e2: 3 });
+    expect(choose()).to.equal("e2");
+  });
+
+  it("lets the urgent wait where the less urgent are refused", () => {
+    // One ahead of four at a second each: 250 ms.
+    const { choose } = setUp({ e1: 4, e2: 4 });
+    expect(choose({ priority: 0, targetLatencyMs: 400 })).to.equal("e1");
+    expect(choose({ priority: 2, targetLatencyMs: 400 })).to.equal(
+      "overloaded",
+    );
+  });
+
+  it("refuses as hopeless what would wait for longer than its caller", () => {
+    const { choose } = setUp({ e1: 12, e2: 12 });
+    expect(choose()).to.equal("overloaded");
+    expect(choose({ leftMs: 700 })).to.equal("hopeless");
+  });
+
+  it("does not refuse what an endpoint has had already", () => {
+    const { choose } = setUp({ e1: 12, e2: 12 });
+    expect(choose({}, ["e1/1"])).to.equal("e2");
+  });
+
+  it("refuses nothing for routes that name no target", () => {
+    const { choose } = setUp({ e1: 12, e2: 12 });
+    expect(choose({ targetLatencyMs: Number.POSITIVE_INFINITY })).to.equal(
+      "e1",
+    );
+  });
+});
