--- a/packages/endpoint/tests/http_endpoint_client_test.ts
+++ b/packages/endpoint/tests/http_endpoint_client_test.ts
@@ -3,6 +3,7 @@
 import { Readable } from "node:stream";
 import { expect } from "chai";
 import { describe, it } from "mocha";
+import { listenOn } from "@limpetshed/base";
 import { Metrics } from "@limpetshed/observe";
 import type { PlainCall } from "../src/endpoint_client.ts";
 import { EndpointError } from "../src/endpoint_error.ts";
@@ -29,12 +30,8 @@
     });
   }
 
-  async listen(): Promise<string> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = this.#server.address() as net.AddressInfo;
-    return `127.0.0.1:${port}`;
+  listen(): Promise<string> {
+    return listenOn(this.#server, "127.0.0.1:0");
   }
 
   async close(): Promise<void> {
--- a/packages/relay/tests/answer_endings_test.ts
+++ b/packages/relay/tests/answer_endings_test.ts
@@ -1,6 +1,6 @@
 import { Buffer } from "node:buffer";
 import * as net from "node:net";
-import { SystemClock } from "@limpetshed/base";
+import { listenOn, SystemClock } from "@limpetshed/base";
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
 import { EndpointConnection } from "../src/endpoint_connection.ts";
@@ -25,13 +25,10 @@
       socket.on("error", () => undefined);
       socket.once("data", () => answer(socket));
     });
-    await new Promise<void>((resolve) =>
-      server!.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = server.address() as net.AddressInfo;
+    const address = await listenOn(server, "127.0.0.1:0");
     const connection = new EndpointConnection({
       clock: new SystemClock(),
-      address: `127.0.0.1:${port}`,
+      address,
       connectTimeoutMs: 5_000,
       onClose: () => undefined,
     });
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 import * as http from "node:http";
 import * as net from "node:net";
-import { SystemClock } from "@limpetshed/base";
+import { listenOn, SystemClock } from "@limpetshed/base";
 import { LeastLoadedPolicy } from "@limpetshed/dispatch";
 import { initHashing } from "@limpetshed/hashing";
 import { makeLogger, RelayMetrics } from "@limpetshed/observe";
@@ -71,12 +71,8 @@
     });
   }
 
-  async listen(): Promise<string> {
-    await new Promise<void>((resolve) =>
-      this.#server.listen(0, "127.0.0.1", resolve)
-    );
-    const { port } = this.#server.address() as net.AddressInfo;
-    return `127.0.0.1:${port}`;
+  listen(): Promise<string> {
+    return listenOn(this.#server, "127.0.0.1:0");
   }
 
   close(): void {
@@ -146,11 +142,10 @@
       });
     }
     this.configure();
-    const port = await freePort();
-    this.#address = `127.0.0.1:${port}`;
+    this.#address = await freeAddress();
     await this.node.listen({
       front: this.#address,
-      ready: `127.0.0.1:${await freePort()}`,
+      ready: await freeAddress(),
     });
   }
 
@@ -272,10 +267,9 @@
   });
 }
 
-async function freePort(): Promise<number> {
+async function freeAddress(): Promise<string> {
   const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as net.AddressInfo;
+  const address = await listenOn(server, "127.0.0.1:0");
   await new Promise<void>((resolve) => server.close(() => resolve()));
-  return port;
+  return address;
 }
--- a/packages/stand_ins/src/etcd_stand_in.ts
+++ b/packages/stand_ins/src/etcd_stand_in.ts
@@ -1,9 +1,8 @@
 import * as http2 from "node:http2";
-import type { AddressInfo } from "node:net";
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, type ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { AsyncQueue, type Clock, sleep } from "@limpetshed/base";
+import { AsyncQueue, type Clock, listenOn, sleep } from "@limpetshed/base";
 import { etcd, type StoreChange, type StoreEntry } from "@limpetshed/store";
 import type { KvEngine } from "./kv_engine.ts";
 import { type KvFaults, noKvFaults } from "./kv_faults.ts";
@@ -44,12 +43,7 @@
 
   /** Starts listening; returns the address as a URL. */
   async listen(port = 0): Promise<string> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, "127.0.0.1", resolve);
-    });
-    const { port: actual } = this.#server.address() as AddressInfo;
-    return `http://127.0.0.1:${actual}`;
+    return `http://${await listenOn(this.#server, `127.0.0.1:${port}`)}`;
   }
 
   /** Calls received so far, by method, each watch as one. */
--- a/packages/stand_ins/src/http_server.ts
+++ b/packages/stand_ins/src/http_server.ts
@@ -1,5 +1,5 @@
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
+import { listenOn } from "@limpetshed/base";
 import { Buffer } from "node:buffer";
 
 /** Handles one request; what it throws becomes status 500. */
@@ -25,13 +25,8 @@
   }
 
   /** Starts listening; returns `ip:port`. */
-  async listen(port = 0): Promise<string> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, "127.0.0.1", resolve);
-    });
-    const { port: actual } = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${actual}`;
+  listen(port = 0): Promise<string> {
+    return listenOn(this.#server, `127.0.0.1:${port}`);
   }
 
   /** Breaks every open connection. */
