--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -2,6 +2,7 @@
 export { AsyncQueue } from "./async_queue.ts";
 export type { Clock, Timer } from "./clock.ts";
 export { type Deferred, deferred } from "./deferred.ts";
+export { errorText } from "./error_text.ts";
 export {
   invariant,
   type InvariantListener,
--- a/packages/cli/src/operators_client.ts
+++ b/packages/cli/src/operators_client.ts
@@ -1,4 +1,5 @@
 import { request } from "undici";
+import { errorText } from "@limpetshed/base";
 import { readText } from "@limpetshed/settings";
 import { CommandError, type ExitName } from "./command_error.ts";
 import type { OptionTable, ParsedOptions } from "./options.ts";
@@ -43,7 +44,7 @@
     signal: AbortSignal.timeout(TIMEOUT_MS),
     ...(body === undefined ? {} : { body }),
   }).catch((err: unknown) => {
-    const reason = err instanceof Error ? err.message : String(err);
+    const reason = errorText(err);
     throw new CommandError("failed", `${url} does not answer: ${reason}`);
   });
   const data = await res.body.json().catch(() => undefined);
--- a/packages/cli/src/run_command.ts
+++ b/packages/cli/src/run_command.ts
@@ -1,4 +1,5 @@
 import process from "node:process";
+import { errorText } from "@limpetshed/base";
 import { RouterError } from "@limpetshed/errors";
 import { checkSettingsCommand } from "./check_settings_command.ts";
 import type { Command } from "./command.ts";
@@ -104,7 +105,7 @@
     process.stderr.write(`limpetshed: settings not valid\n${lines.join("")}`);
     return EXIT_CODES.settings;
   }
-  const message = err instanceof Error ? err.message : String(err);
+  const message = errorText(err);
   process.stderr.write(`limpetshed: ${message}\n`);
   return EXIT_CODES.failed;
 }
--- a/packages/dispatch/src/baseline_policies.ts
+++ b/packages/dispatch/src/baseline_policies.ts
@@ -3,6 +3,7 @@
   type Placement,
   type PolicyRequest,
 } from "./endpoint_policy.ts";
+import { sharedPart } from "./prompt_facts.ts";
 import { rankEndpoints } from "./rank_endpoints.ts";
 
 /** Baseline: the fewest requests in flight, blind to prompts. */
@@ -39,7 +40,7 @@
 /** Baseline: rendezvous hashing on the last part that requests share. */
 export class LastSharedPolicy extends EndpointPolicy {
   place({ prompt, members, candidates }: PolicyRequest): Placement {
-    const shared = prompt?.parts.at(-2) ?? prompt?.parts.at(-1);
+    const shared = prompt === undefined ? undefined : sharedPart(prompt);
     if (shared === undefined) {
       return { endpoint: this.leastLoaded(candidates) };
     }
--- a/packages/dispatch/src/overload_guard.ts
+++ b/packages/dispatch/src/overload_guard.ts
@@ -60,27 +60,27 @@
 
   /** Leaves the endpoints where the request waits no longer than it may. */
   admit(req: OverloadRequest): Admission {
+    const { candidates } = req;
     const meanMs = this.#pace.meanHeldMs(req.service);
-    const waits = req.candidates.map((endpoint) => ({
-      endpoint,
-      waitMs: this.#waitMs(endpoint, meanMs),
-    }));
-    if (waits.every(({ waitMs }) => waitMs === 0)) {
-      return { endpoints: req.candidates };
+    const waitMs = (endpoint: Endpoint) => this.#waitMs(endpoint, meanMs);
+    if (candidates.every((endpoint) => waitMs(endpoint) === 0)) {
+      return { endpoints: candidates };
     }
     const isAbove = req.account !== undefined &&
       this.#accounts.isAboveShare(req.service, req.account);
     const allowedMs = this.#allowedMs(req, isAbove);
-    const endpoints = waits.filter(({ waitMs }) => waitMs <= allowedMs)
-      .map(({ endpoint }) => endpoint);
+    const endpoints = candidates.filter((endpoint) =>
+      waitMs(endpoint) <= allowedMs
+    );
     if (endpoints.length > 0) {
       return { endpoints };
     }
-    const waitMs = Math.min(...waits.map((wait) => wait.waitMs));
-    if (waitMs >= req.leftMs) {
-      return { refusal: "hopeless", waitMs };
+    const shortestMs = Math.min(...candidates.map(waitMs));
+    if (shortestMs >= req.leftMs) {
+      return { refusal: "hopeless", waitMs: shortestMs };
     }
-    return { refusal: isAbove ? "above_share" : "overloaded", waitMs };
+    const refusal = isAbove ? "above_share" : "overloaded";
+    return { refusal, waitMs: shortestMs };
   }
 
   #allowedMs(
--- a/packages/dispatch/src/prefix_policy.ts
+++ b/packages/dispatch/src/prefix_policy.ts
@@ -6,7 +6,7 @@
 } from "./endpoint_policy.ts";
 import type { LoadBoard } from "./load_board.ts";
 import type { PrefixHolders } from "./prefix_holders.ts";
-import type { PromptFacts } from "./prompt_facts.ts";
+import { type PromptFacts, sharedPart } from "./prompt_facts.ts";
 import { rankEndpoints } from "./rank_endpoints.ts";
 
 /** Options of {@linkcode PrefixPolicy}. */
@@ -57,9 +57,10 @@
     }
     const { holders } = this.#options;
     const holding = holders.holders(shared.id);
-    const bound = this.#bound(req);
-    const endpoint = this.#leastLoadedHolder(req, { holding, bound }) ??
-      this.#firstRanked(shared.id, req);
+    const meanLoad = this.meanLoad(req.members);
+    const endpoint =
+      this.#leastLoadedHolder(candidates, { holding, meanLoad }) ??
+        this.#firstRanked(candidates, { partId: shared.id, meanLoad });
     const copyFrom = holding.has(endpoint.key) ||
         sharedTokens(prompt!) < MIN_COPY_TOKENS
       ? undefined
@@ -68,15 +69,12 @@
     return { endpoint, copyFrom };
   }
 
-  #bound({ members }: PolicyRequest): number {
-    const { loadMultiple } = this.#options;
-    return loadMultiple * this.meanLoad(members) + LOAD_SLACK - LOAD_MARGIN;
-  }
-
   #leastLoadedHolder(
-    { candidates }: PolicyRequest,
-    { holding, bound }: { holding: ReadonlySet<string>; bound: number },
+    candidates: readonly Endpoint[],
+    { holding, meanLoad }: { holding: ReadonlySet<string>; meanLoad: number },
   ): Endpoint | undefined {
+    const { loadMultiple } = this.#options;
+    const bound = loadMultiple * meanLoad + LOAD_SLACK - LOAD_MARGIN;
     const hasRoom = ({ key, entry }: Endpoint) =>
       this.board.total(key) < BUSY_PART * entry.slots;
     const isAnyFree = candidates.some(hasRoom);
@@ -89,8 +87,11 @@
   }
 
   /** The same endpoint on every node that sees the same loads. */
-  #firstRanked(partId: string, { members, candidates }: PolicyRequest) {
-    const bound = NEW_TEXT_MULTIPLE * this.meanLoad(members) + 1;
+  #firstRanked(
+    candidates: readonly Endpoint[],
+    { partId, meanLoad }: { partId: string; meanLoad: number },
+  ): Endpoint {
+    const bound = NEW_TEXT_MULTIPLE * meanLoad + 1;
     return rankEndpoints(partId, candidates)
       .find(({ key }) => this.board.total(key) <= bound) ??
       this.leastLoaded(candidates);
@@ -128,11 +129,6 @@
   }
 }
 
-/** The deepest part that other requests may share. */
-function sharedPart({ parts }: PromptFacts) {
-  return parts.at(-2) ?? parts.at(-1);
-}
-
 /** Tokens up to the deepest shared part. */
 function sharedTokens({ parts }: PromptFacts): number {
   return parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
--- a/packages/dispatch/src/prompt_facts.ts
+++ b/packages/dispatch/src/prompt_facts.ts
@@ -14,3 +14,8 @@
   /** Parts in order; the last is the request's or its session's own. */
   parts: readonly PromptPart[];
 }
+
+/** The deepest part that other requests may share. */
+export function sharedPart({ parts }: PromptFacts): PromptPart | undefined {
+  return parts.at(-2) ?? parts.at(-1);
+}
--- a/packages/fleet/src/node_registration.ts
+++ b/packages/fleet/src/node_registration.ts
@@ -1,4 +1,9 @@
-import { type Clock, repeat, type Repeating } from "@limpetshed/base";
+import {
+  type Clock,
+  errorText,
+  repeat,
+  type Repeating,
+} from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
 
 /** What registering needs of the store. */
@@ -64,7 +69,7 @@
         event: "registration",
         outcome: "failed",
         entry: key,
-        err: err instanceof Error ? err.message : String(err),
+        err: errorText(err),
       });
     }
   }
--- a/packages/fleet_relay/src/state_sources.ts
+++ b/packages/fleet_relay/src/state_sources.ts
@@ -129,7 +129,7 @@
     const near = live.filter((peer) =>
       peer.availabilityZone === availabilityZone && peer.storePath !== "lost"
     );
-    const ranked = rendezvousRank("watch", [nodeId, ...near.map(idOf)]);
+    const ranked = rankForWatch([nodeId, ...near.map(({ id }) => id)]);
     const at = ranked.indexOf(nodeId);
     const before = ranked[Math.floor((at - 1) / FOLLOWERS)];
     return near.find(({ id }) => id === before);
@@ -143,13 +143,11 @@
       availabilityZone,
       storePath: this.storePath,
     };
-    return chooseWatchers(
-      [self, ...directory.live()],
-      (ids) => rendezvousRank("watch", ids),
-    );
+    return chooseWatchers([self, ...directory.live()], rankForWatch);
   }
 }
 
-function idOf({ id }: Peer): string {
-  return id;
+/** The order in which nodes take the duty to watch the store. */
+function rankForWatch(ids: readonly string[]): string[] {
+  return rendezvousRank("watch", ids);
 }
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -1,4 +1,4 @@
-import { type Clock, sleep } from "@limpetshed/base";
+import { type Clock, errorText, sleep } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
 import type { ChangeSource } from "./change_source.ts";
 import type { KeyMirror } from "./key_mirror.ts";
@@ -131,7 +131,7 @@
           source: source.name,
           asOf: mirror.asOf,
           ageMs: Number.isFinite(ageMs) ? ageMs : undefined,
-          err: err instanceof Error ? err.message : String(err),
+          err: errorText(err),
         },
         "the source of shared state does not answer; known state stays",
       );
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -66,7 +66,7 @@
   limpetshed_answer_head_seconds: row(
     "histogram",
     ["kind"],
-    "From the arrival of a request to the head of its answer.",
+    "From sending a request to an endpoint to the head of its answer.",
   ),
   limpetshed_answer_seconds: row(
     "histogram",
