feat(observe): tell from whom a change came and how old the state is

Each update now carries its age: the time since the store held that state as its newest, added up over all nodes that passed it on (a header of the responses between nodes). The mirror keeps when it was last confirmed as current; a change that arrives later cannot be older than that. No decision depends on it yet.

--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -6,7 +6,7 @@
 } from "@limpetshed/mirror";
 import { decodeUpdate } from "./decode_update.ts";
 import { PeerClient } from "./peer_client.ts";
-import { CHANGES_PATH } from "./peer_server.ts";
+import { CHANGES_PATH, STATE_AGE_HEADER } from "./peer_server.ts";
 
 /** Options of {@linkcode PeerChangeSource}. */
 export interface PeerChangeSourceOptions {
@@ -19,11 +19,13 @@
 /** Reads shared state from another node. */
 export class PeerChangeSource extends ChangeSource {
   readonly name = "peers";
+  readonly #clock: Clock;
   readonly #selectPeer: PeerChangeSourceOptions["selectPeer"];
   readonly #client: PeerClient;
 
   constructor({ clock, selectPeer }: PeerChangeSourceOptions) {
     super();
+    this.#clock = clock;
     this.#selectPeer = selectPeer;
     this.#client = new PeerClient({ clock });
   }
@@ -55,6 +57,15 @@
       throw new Error("no peer is known");
     }
     const path = `${CHANGES_PATH}?after=${revision}`;
-    return decodeUpdate(await this.#client.getJson(address, { path, signal }));
+    const { value, headers, headMs } = await this.#client.getJson(address, {
+      path,
+      signal,
+    });
+    const ageAtSenderMs = Number(headers[STATE_AGE_HEADER] ?? 0);
+    return {
+      ...decodeUpdate(value),
+      ageMs: ageAtSenderMs + this.#clock.monotonicMs() - headMs,
+      sender: address,
+    };
   }
 }
--- a/packages/fleet/src/peer_client.ts
+++ b/packages/fleet/src/peer_client.ts
@@ -1,7 +1,16 @@
 import { type Clock, parseJson, withTimeout } from "@limpetshed/base";
+import type { IncomingHttpHeaders } from "node:http";
 import { Client } from "undici";
 import { CHANGES_LONG_POLL_MS } from "./peer_server.ts";
 
+/** A parsed JSON response. */
+export interface PeerResponse {
+  value: unknown;
+  headers: IncomingHttpHeaders;
+  /** Monotonic time at which the response head arrived. */
+  headMs: number;
+}
+
 /** Call timeout: the long-poll timeout plus many network round trips. */
 const CALL_TIMEOUT_MS = CHANGES_LONG_POLL_MS + 300;
 
@@ -17,17 +26,16 @@
     this.#clock = clock;
   }
 
-  /** Sends a GET request to the node at `ip:port`; resolves to the parsed JSON
-   * response. */
+  /** Sends a GET request to the node at `ip:port`. */
   async getJson(
     address: string,
     { path, signal }: { path: string; signal: AbortSignal },
-  ): Promise<unknown> {
+  ): Promise<PeerResponse> {
     const client = this.#clientFor(address);
     try {
       return await withTimeout(
         this.#clock,
-        sendRequest(client, { path, signal }),
+        this.#sendRequest(client, { path, signal }),
         {
           ms: CALL_TIMEOUT_MS,
           onTimeout: () => new Error(`request to peer ${address} timed out`),
@@ -53,20 +61,21 @@
     }
     return this.#connection.client;
   }
-}
 
-async function sendRequest(
-  client: Client,
-  { path, signal }: { path: string; signal: AbortSignal },
-): Promise<unknown> {
-  const { statusCode, body } = await client.request({
-    method: "GET",
-    path,
-    signal,
-  });
-  const text = await body.text();
-  if (statusCode !== 200) {
-    throw new Error(`peer responded with status ${statusCode}`);
+  async #sendRequest(
+    client: Client,
+    { path, signal }: { path: string; signal: AbortSignal },
+  ): Promise<PeerResponse> {
+    const { statusCode, headers, body } = await client.request({
+      method: "GET",
+      path,
+      signal,
+    });
+    const headMs = this.#clock.monotonicMs();
+    const text = await body.text();
+    if (statusCode !== 200) {
+      throw new Error(`peer responded with status ${statusCode}`);
+    }
+    return { value: parseJson(text, "the peer's response"), headers, headMs };
   }
-  return parseJson(text, "the peer's response");
 }
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -6,12 +6,17 @@
   createRouter,
   defineEventHandler,
   getQuery,
+  setResponseHeader,
   toNodeListener,
 } from "h3";
 
 /** HTTP path of shared-state changes. */
 export const CHANGES_PATH = "/changes";
 
+/** Header with the time since the store confirmed the sender's state as current,
+ * in whole milliseconds. */
+export const STATE_AGE_HEADER = "limpetshed-state-age-ms";
+
 /** Long-poll timeout for callers that are up to date, milliseconds. */
 export const CHANGES_LONG_POLL_MS = 700;
 
@@ -42,6 +47,10 @@
         if (mirror.asOf === 0) {
           throw createError({ statusCode: 503 });
         }
+        const ageMs = clock.monotonicMs() - mirror.confirmedMs;
+        if (Number.isFinite(ageMs)) {
+          setResponseHeader(event, STATE_AGE_HEADER, Math.ceil(ageMs));
+        }
         return mirror.changesAfter(after);
       }),
     );
--- a/packages/fleet/tests/peer_change_source_test.ts
+++ b/packages/fleet/tests/peer_change_source_test.ts
@@ -101,6 +101,21 @@
     );
   });
 
+  it("add up the age of the state over several nodes", async () => {
+    const clock = new ManualClock();
+    await clock.advance(5_000);
+    const mirror = new KeyMirror();
+    const update = { kind: "snapshot" as const, entries: [], asOf: 3 };
+    mirror.apply(update, { receivedMs: 4_400, confirmedMs: 4_200 });
+    const server = new PeerServer({ clock, mirror, placements: () => [] });
+    const address = await server.listen("127.0.0.1:0");
+    const source = new PeerChangeSource({ clock, selectPeer: () => address });
+    openResources.push(server, source);
+    const { ageMs, sender } = await source.waitForChanges(2, { signal });
+    expect(ageMs).to.equal(800);
+    expect(sender).to.equal(address);
+  });
+
   it("time the long poll by the injected clock", async () => {
     const clock = new TimerRecordingClock();
     const mirror = new KeyMirror();
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -178,6 +178,12 @@
     ]);
   }
 
+  /** Time since the shared state was confirmed as current; infinite before the
+   * first read. */
+  get #stateAgeMs(): number {
+    return this.#options.clock.monotonicMs() - this.#mirror.confirmedMs;
+  }
+
   #makeNode(): RelayNode {
     const { clock, logger, settings, format, metrics, readinessPath } =
       this.#options;
@@ -187,7 +193,12 @@
       nodeId: settings.nodeId,
       nodeIds: () => this.#directory.nodeIds(),
       format,
-      observer: new TelemetryObserver({ clock, logger, metrics }),
+      observer: new TelemetryObserver({
+        clock,
+        logger,
+        metrics,
+        stateAgeMs: () => this.#stateAgeMs,
+      }),
       makePolicy: (
         { endpointLoads, prefixCacheIndex, registry },
       ) =>
@@ -294,6 +305,9 @@
     metrics.gauge("limpetshed_in_flight", this.#node.inFlight);
     metrics.gauge("limpetshed_config_version", this.#node.config.version);
     metrics.gauge("limpetshed_state_revision", this.#mirror.asOf);
+    if (Number.isFinite(this.#stateAgeMs)) {
+      metrics.gauge("limpetshed_state_age_seconds", this.#stateAgeMs / 1_000);
+    }
     metrics.gauge("limpetshed_nodes", this.#directory.nodeIds().length);
     for (const [source, follower] of Object.entries(this.#followers)) {
       const value = follower.isReachable ? 1 : 0;
--- a/packages/fleet_relay/src/placement_recovery.ts
+++ b/packages/fleet_relay/src/placement_recovery.ts
@@ -108,10 +108,8 @@
     }
     const path = PLACEMENTS_PATH;
     const { signal } = this.#abortController;
-    const response = await this.#client.getJson(address, { path, signal });
-    return Array.isArray(response)
-      ? decodeCachedParts(response.map(String))
-      : [];
+    const { value } = await this.#client.getJson(address, { path, signal });
+    return Array.isArray(value) ? decodeCachedParts(value.map(String)) : [];
   }
 
   /** Usable endpoints of services with a prompt cache. */
--- a/packages/mirror/src/change_source.ts
+++ b/packages/mirror/src/change_source.ts
@@ -6,8 +6,18 @@
   revision: number;
 }
 
+/** How old an update is and who sent it. */
+export interface UpdateProvenance {
+  /** Time that has passed, at most, since the store held the state of the update
+   * as its newest, milliseconds; over all nodes that passed the update on. 0 if
+   * missing. */
+  ageMs?: number;
+  /** `ip:port` of the node that sent the update, if it was one. */
+  sender?: string;
+}
+
 /** Changes after a given revision, in order. */
-export interface ChangeBatch {
+export interface ChangeBatch extends UpdateProvenance {
   kind: "changes";
   changes: readonly KeyChange[];
   /** Revision up to which the batch is complete. */
@@ -16,7 +26,7 @@
 
 /** All existing keys; sent for the first read and when the changes since a
  * revision are no longer available. */
-export interface Snapshot {
+export interface Snapshot extends UpdateProvenance {
   kind: "snapshot";
   entries: readonly KeyChange[];
   /** Revision at which the snapshot was taken. */
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -4,8 +4,14 @@
   ChangeSource,
   type KeyChange,
   type Snapshot,
+  type UpdateProvenance,
 } from "./change_source.ts";
-export { KeyMirror, type MirrorListener } from "./key_mirror.ts";
+export {
+  type ChangeOrigin,
+  KeyMirror,
+  type MirrorListener,
+  type UpdateTimes,
+} from "./key_mirror.ts";
 export {
   MirrorFollower,
   type MirrorFollowerOptions,
--- a/packages/mirror/src/key_mirror.ts
+++ b/packages/mirror/src/key_mirror.ts
@@ -1,7 +1,29 @@
 import type { ChangeBatch, KeyChange, Snapshot } from "./change_source.ts";
 
+/** How a change reached this node. */
+export interface ChangeOrigin {
+  /** `ip:port` of the node that sent it; undefined if the store did. */
+  sender: string | undefined;
+  /** Upper bound of the time since the change happened, milliseconds; infinite
+   * for the first state of this node. */
+  maxAgeMs: number;
+}
+
+/** When an update was received and how current it was, as monotonic times of
+ * this node. */
+export interface UpdateTimes {
+  receivedMs: number;
+  /** Time at which the store held the state of the update as its newest. */
+  confirmedMs: number;
+}
+
 /** Called with each change applied to the mirror. */
-export type MirrorListener = (change: KeyChange) => void;
+export type MirrorListener = (change: KeyChange, origin: ChangeOrigin) => void;
+
+const UNKNOWN_TIMES: UpdateTimes = {
+  receivedMs: Number.POSITIVE_INFINITY,
+  confirmedMs: Number.NEGATIVE_INFINITY,
+};
 
 /** Recent changes retained for nodes that follow this one; a follower that is
  * further behind gets a snapshot. */
@@ -20,33 +42,50 @@
   /** Changes at or below this revision are no longer retained. */
   #compactedRevision = 0;
   #asOf = 0;
+  #confirmedMs = Number.NEGATIVE_INFINITY;
 
   /** Revision up to which all changes are applied; 0 before the first read. */
   get asOf(): number {
     return this.#asOf;
   }
 
+  /** Latest monotonic time at which the mirror is known to have held the newest
+   * state of the store; negative infinity before the first read. */
+  get confirmedMs(): number {
+    return this.#confirmedMs;
+  }
+
   /** Registers a listener for changes applied from now on. */
   onChange(listener: MirrorListener): void {
     this.#listeners.push(listener);
   }
 
-  /** Applies an update from a source; ignores one older than the mirror. */
-  apply(update: ChangeBatch | Snapshot): void {
+  /** Applies an update from a source; ignores one older than the mirror. Without
+   * `times` the update says nothing about how current the mirror is. */
+  apply(
+    update: ChangeBatch | Snapshot,
+    { receivedMs, confirmedMs }: UpdateTimes = UNKNOWN_TIMES,
+  ): void {
     if (update.asOf < this.#asOf) {
       return;
     }
+    const origin: ChangeOrigin = {
+      sender: update.sender,
+      // The mirror was complete then, so the changes that it lacks came later.
+      maxAgeMs: receivedMs - this.#confirmedMs,
+    };
     if (update.kind === "snapshot") {
-      this.#applySnapshot(update);
+      this.#applySnapshot(update, origin);
     } else {
       // Deleted keys keep no revision to compare with, so changes that the mirror
       // already covers are skipped here: an old write must not restore a key
       // whose later deletion was applied.
       update.changes
         .filter(({ revision }) => revision > this.#asOf)
-        .forEach((change) => this.#applyChange(change));
+        .forEach((change) => this.#applyChange(change, origin));
     }
     this.#asOf = update.asOf;
+    this.#confirmedMs = Math.max(this.#confirmedMs, confirmedMs);
     [...this.#waiters].forEach((notify) => notify());
   }
 
@@ -79,19 +118,19 @@
     });
   }
 
-  #applySnapshot({ entries, asOf }: Snapshot): void {
+  #applySnapshot({ entries, asOf }: Snapshot, origin: ChangeOrigin): void {
     const present = new Set(entries.map(({ key }) => key));
     for (const key of [...this.#entries.keys()]) {
       if (!present.has(key)) {
-        this.#applyChange({ key, value: undefined, revision: asOf });
+        this.#applyChange({ key, value: undefined, revision: asOf }, origin);
       }
     }
-    entries.forEach((entry) => this.#applyChange(entry));
+    entries.forEach((entry) => this.#applyChange(entry, origin));
     this.#compactedRevision = asOf;
     this.#recentChanges.length = 0;
   }
 
-  #applyChange(change: KeyChange): void {
+  #applyChange(change: KeyChange, origin: ChangeOrigin): void {
     const current = this.#entries.get(change.key);
     if (change.revision <= (current?.revision ?? 0)) {
       return;
@@ -106,7 +145,7 @@
       this.#compactedRevision = this.#recentChanges.shift()!.revision;
     }
     for (const listener of this.#listeners) {
-      listener(change);
+      listener(change, origin);
     }
   }
 }
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -103,10 +103,12 @@
       : await source.waitForChanges(asOf, { signal });
     // Set before the update is applied: listeners of the mirror delay removals
     // shortly after an outage.
+    const receivedMs = this.#options.clock.monotonicMs();
     if (this.#consecutiveFailures > 0) {
-      this.#lastOutageEndMs = this.#options.clock.monotonicMs();
+      this.#lastOutageEndMs = receivedMs;
     }
-    mirror.apply(update);
+    const confirmedMs = receivedMs - (update.ageMs ?? 0);
+    mirror.apply(update, { receivedMs, confirmedMs });
   }
 
   #recordSuccess(): void {
--- a/packages/mirror/tests/key_mirror_test.ts
+++ b/packages/mirror/tests/key_mirror_test.ts
@@ -62,6 +62,25 @@
     expect(applied).to.deep.equal(["a=v1", "b=v2", "a=-"]);
   });
 
+  it("bounds the age of a change by the last time it was current", () => {
+    const mirror = new KeyMirror();
+    const ages: number[] = [];
+    mirror.onChange((_change, { maxAgeMs }) => ages.push(maxAgeMs));
+    const first = {
+      kind: "snapshot" as const,
+      entries: [put("a", 3)],
+      asOf: 5,
+    };
+    mirror.apply(first, { receivedMs: 110, confirmedMs: 100 });
+    const unchanged = { kind: "changes" as const, changes: [], asOf: 5 };
+    mirror.apply(unchanged, { receivedMs: 210, confirmedMs: 200 });
+    mirror.apply(unchanged, { receivedMs: 220, confirmedMs: 150 });
+    expect(mirror.confirmedMs).to.equal(200);
+    const change = { ...unchanged, changes: [put("a", 6)], asOf: 6 };
+    mirror.apply(change, { receivedMs: 900, confirmedMs: 890 });
+    expect(ages).to.deep.equal([Number.POSITIVE_INFINITY, 700]);
+  });
+
   it("returns retained changes, or a snapshot if they are not retained", () => {
     const { mirror } = makeRecordingMirror();
     mirror.apply({ kind: "snapshot", entries: [put("a", 3)], asOf: 5 });
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -76,6 +76,11 @@
   limpetshed_in_flight: row("gauge", [], "Requests in flight."),
   limpetshed_config_version: row("gauge", [], "Active configuration version."),
   limpetshed_state_revision: row("gauge", [], "Revision of the shared state."),
+  limpetshed_state_age_seconds: row(
+    "gauge",
+    [],
+    "Time since the store confirmed the shared state as current, over all nodes that passed it on.",
+  ),
   limpetshed_source_reachable: row(
     "gauge",
     ["source"],
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -14,6 +14,9 @@
   clock: Clock;
   logger: Logger;
   metrics: RelayMetrics;
+  /** Returns the time since the shared state was confirmed as current,
+   * milliseconds; may be infinite. */
+  stateAgeMs?: () => number;
 }
 
 /** Request ids that are safe to log; any other may contain arbitrary data from
@@ -25,10 +28,15 @@
   readonly #clock: Clock;
   readonly #logger: Logger;
   readonly #metrics: RelayMetrics;
+  readonly #stateAgeMs: () => number;
   readonly #budget: LogRateLimiter;
 
-  constructor({ clock, logger, metrics }: TelemetryObserverOptions) {
+  constructor(
+    { clock, logger, metrics, stateAgeMs = () => Number.POSITIVE_INFINITY }:
+      TelemetryObserverOptions,
+  ) {
     super();
+    this.#stateAgeMs = stateAgeMs;
     this.#clock = clock;
     this.#logger = logger;
     this.#metrics = metrics;
@@ -61,6 +69,7 @@
       load,
       candidates,
       entryAgeMs: Math.round(this.#clock.monotonicMs() - endpoint.knownSinceMs),
+      stateAgeMs: roundIfFinite(this.#stateAgeMs()),
       headMs: result.headMs === undefined
         ? undefined
         : Math.round(result.headMs),
@@ -171,3 +180,7 @@
     ? requestId
     : "(not printable)";
 }
+
+function roundIfFinite(value: number): number | undefined {
+  return Number.isFinite(value) ? Math.round(value) : undefined;
+}
