fix(fleet): let a large update arrive on slow links

Callers' requests reached an endpoint up to 4.3 s after it had said that it leaves.

Cause: a configuration of 1,220 routes goes from each watcher of the store to 8 or more followers over one link. A call between nodes had one second in all, whatever it transferred: none ended in it, each started over from the first byte, and the links stayed full of transfers that nobody could use. Small changes wait in the same batch. A second version doubled the batch, since superseded values were sent as well.

Evidence: watchers send 1,750 to 2,080 kB/s, the whole of their links, from 26 to 28.9 s, while calls to them time out after 1,001 ms at the revision before the configuration; processors stand at 9 to 19%.

Now a call fails after a second without a byte, or 5 s in all; a batch holds only the latest change of each key; large updates are compressed, once for all followers at the same revision. So the transfer is many times smaller, and one that is slow ends all the same.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -14,7 +14,12 @@
 export { ManualClock } from "./manual_clock.ts";
 export { parseJson } from "./parse_json.ts";
 export { PausableClock } from "./pausable_clock.ts";
+export { readStream } from "./read_stream.ts";
 export { repeat, type RepeatingTask, type RepeatOptions } from "./repeat.ts";
 export { sleep } from "./sleep.ts";
 export { SystemClock } from "./system_clock.ts";
+export {
+  type ProgressTimeoutOptions,
+  withProgressTimeout,
+} from "./with_progress_timeout.ts";
 export { withTimeout } from "./with_timeout.ts";
--- a/packages/fleet/src/peer_client.ts
+++ b/packages/fleet/src/peer_client.ts
@@ -1,7 +1,13 @@
-import { type Clock, parseJson, withTimeout } from "@limpetshed/base";
 import type { IncomingHttpHeaders } from "node:http";
+import { gunzipSync } from "node:zlib";
+import {
+  type Clock,
+  parseJson,
+  readStream,
+  withProgressTimeout,
+} from "@limpetshed/base";
 import { Client } from "undici";
-import { CHANGES_LONG_POLL_MS } from "./peer_server.ts";
+import { CHANGES_LONG_POLL_MS, GZIP } from "./peer_server.ts";
 
 /** A parsed JSON response. */
 export interface PeerResponse {
@@ -11,8 +17,14 @@
   headMs: number;
 }
 
-/** Call timeout: the long-poll timeout plus many network round trips. */
-const CALL_TIMEOUT_MS = CHANGES_LONG_POLL_MS + 300;
+/** Time without a byte after which a call has failed, milliseconds: the long-poll
+ * timeout plus many network round trips. */
+const IDLE_TIMEOUT_MS = CHANGES_LONG_POLL_MS + 300;
+/** Upper bound of the time of a call, milliseconds; a slow link carries the
+ * largest configuration in less. */
+const CALL_TIMEOUT_MS = 5_000;
+/** Several times the shared state of a large fleet. */
+const MAX_RESPONSE_BYTES = 32 * 1_024 * 1_024;
 
 /**
  * HTTP client for other nodes, one call at a time. Reuses the connection to the
@@ -33,11 +45,12 @@
   ): Promise<PeerResponse> {
     const client = this.#clientFor(address);
     try {
-      return await withTimeout(
+      return await withProgressTimeout(
         this.#clock,
-        this.#sendRequest(client, { path, signal }),
+        (onProgress) => this.#sendRequest(client, { path, signal, onProgress }),
         {
-          ms: CALL_TIMEOUT_MS,
+          idleMs: IDLE_TIMEOUT_MS,
+          totalMs: CALL_TIMEOUT_MS,
           onTimeout: () => new Error(`request to peer ${address} timed out`),
         },
       );
@@ -64,18 +77,31 @@
 
   async #sendRequest(
     client: Client,
-    { path, signal }: { path: string; signal: AbortSignal },
+    { path, signal, onProgress }: {
+      path: string;
+      signal: AbortSignal;
+      onProgress: () => void;
+    },
   ): Promise<PeerResponse> {
     const { statusCode, headers, body } = await client.request({
       method: "GET",
       path,
       signal,
+      headers: { "accept-encoding": GZIP },
     });
     const headMs = this.#clock.monotonicMs();
-    const text = await body.text();
+    onProgress();
+    const encoded = await readStream(body, {
+      maxBytes: MAX_RESPONSE_BYTES,
+      onProgress,
+    });
     if (statusCode !== 200) {
       throw new Error(`peer responded with status ${statusCode}`);
     }
-    return { value: parseJson(text, "the peer's response"), headers, headMs };
+    const text = headers["content-encoding"] === GZIP
+      ? gunzipSync(encoded, { maxOutputLength: MAX_RESPONSE_BYTES })
+      : encoded;
+    const value = parseJson(text.toString("utf8"), "the peer's response");
+    return { value, headers, headMs };
   }
 }
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -6,9 +6,11 @@
   createRouter,
   defineEventHandler,
   getQuery,
+  getRequestHeader,
   setResponseHeader,
   toNodeListener,
 } from "h3";
+import { UpdateEncoder } from "./update_encoder.ts";
 
 /** HTTP path of shared-state changes. */
 export const CHANGES_PATH = "/changes";
@@ -17,6 +19,9 @@
  * in whole milliseconds. */
 export const STATE_AGE_HEADER = "limpetshed-state-age-ms";
 
+/** Content encoding of large responses to callers that accept it. */
+export const GZIP = "gzip";
+
 /** Long-poll timeout for callers that are up to date, milliseconds. */
 export const CHANGES_LONG_POLL_MS = 700;
 
@@ -32,6 +37,7 @@
      * them cached. */
     placements: () => readonly string[];
   }) {
+    const encoder = new UpdateEncoder({ mirror });
     const router = createRouter();
     router.get(
       CHANGES_PATH,
@@ -51,7 +57,15 @@
         if (Number.isFinite(ageMs)) {
           setResponseHeader(event, STATE_AGE_HEADER, Math.ceil(ageMs));
         }
-        return mirror.changesAfter(after);
+        const { identity, gzip } = encoder.encodeChangesAfter(after);
+        setResponseHeader(event, "content-type", "application/json");
+        const acceptsGzip = getRequestHeader(event, "accept-encoding")
+          ?.includes(GZIP) ?? false;
+        if (gzip === undefined || !acceptsGzip) {
+          return identity;
+        }
+        setResponseHeader(event, "content-encoding", GZIP);
+        return gzip;
       }),
     );
     router.get(PLACEMENTS_PATH, defineEventHandler(() => placements()));
--- a/packages/fleet/tests/peer_change_source_test.ts
+++ b/packages/fleet/tests/peer_change_source_test.ts
@@ -116,6 +116,22 @@
     expect(sender).to.equal(address);
   });
 
+  it("transfer a large update compressed", async () => {
+    const value = JSON.stringify(Array.from({ length: 2_000 }, (_, i) => i));
+    const mirror = new KeyMirror();
+    const entries = [{ key: "a", value, revision: 3 }];
+    mirror.apply({ kind: "snapshot", entries, asOf: 3 });
+    const clock = new SystemClock();
+    const server = new PeerServer({ clock, mirror, placements: () => [] });
+    const address = await server.listen("127.0.0.1:0");
+    const source = new PeerChangeSource({ clock, selectPeer: () => address });
+    openResources.push(server, source);
+    const update = await source.readAll({ signal });
+    expect(update).to.deep.include({ kind: "snapshot", asOf: 3, entries });
+    const response = await fetch(`http://${address}/changes?after=0`);
+    expect(response.headers.get("content-encoding")).to.equal("gzip");
+  });
+
   it("time the long poll by the injected clock", async () => {
     const clock = new TimerRecordingClock();
     const mirror = new KeyMirror();
--- a/packages/mirror/src/key_mirror.ts
+++ b/packages/mirror/src/key_mirror.ts
@@ -89,16 +89,22 @@
     [...this.#waiters].forEach((notify) => notify());
   }
 
-  /** Returns the changes after `revision`, or a snapshot if they are no longer
-   * retained; no changes if `revision` is ahead of this mirror. */
+  /** Returns the latest change of each key after `revision`, or a snapshot if they
+   * are no longer retained; no changes if `revision` is ahead of this mirror. */
   changesAfter(revision: number): ChangeBatch | Snapshot {
     if (revision < this.#compactedRevision) {
       const entries = [...this.#entries.values()];
       return { kind: "snapshot", entries, asOf: this.#asOf };
     }
-    const changes = this.#recentChanges.filter((change) =>
-      change.revision > revision
-    );
+    const latestByKey = new Map<string, KeyChange>();
+    for (const change of this.#recentChanges) {
+      if (change.revision > revision) {
+        // Removed first, so that the map stays in the order of revisions.
+        latestByKey.delete(change.key);
+        latestByKey.set(change.key, change);
+      }
+    }
+    const changes = [...latestByKey.values()];
     return { kind: "changes", changes, asOf: this.#asOf };
   }
 
--- a/packages/mirror/tests/key_mirror_test.ts
+++ b/packages/mirror/tests/key_mirror_test.ts
@@ -98,6 +98,18 @@
     });
   });
 
+  it("returns only the latest of several changes of a key", () => {
+    const { mirror } = makeRecordingMirror();
+    const changes = [put("a", 2), put("b", 3), put("a", 4), deletion("b", 5)];
+    mirror.apply({ kind: "snapshot", entries: [], asOf: 1 });
+    mirror.apply({ kind: "changes", changes, asOf: 5 });
+    expect(mirror.changesAfter(1)).to.deep.equal({
+      kind: "changes",
+      changes: [put("a", 4), deletion("b", 5)],
+      asOf: 5,
+    });
+  });
+
   it("returns no changes to a follower that is ahead", () => {
     const { mirror } = makeRecordingMirror();
     mirror.apply({ kind: "snapshot", entries: [put("a", 3)], asOf: 5 });
