fix(fleet_relay): read the store when peers do not keep a node up to date

Callers' requests reached an endpoint up to 4.3 s after it had said that it leaves, while the store would have answered every node in milliseconds.

Cause: a node that is not a watcher took what its peers gave it, however old that was. It could not tell: each hop counted the age of the state from when it had heard of it.

Now the age of the state is that of its origin, and a node whose state has not been confirmed for 1.1 s reads the store until it is current again. That bounds what any peer, link or number of hops can hold up. Within 5 s of a failed call it does not try, so an outage adds one call per node and 5 s.

--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -251,7 +251,7 @@
     const store = new MirrorFollower({
       ...shared,
       source: storeSource,
-      isEnabled: () => selector.isWatcher,
+      isEnabled: () => selector.shouldReadStore,
     });
     selector.setStoreFollower(store);
     const peers = new MirrorFollower({
--- a/packages/fleet_relay/tests/state_source_selector_test.ts
+++ b/packages/fleet_relay/tests/state_source_selector_test.ts
@@ -47,8 +47,11 @@
       });
       directory.recordDatagram(id, { asOf, storeConnectivity });
     });
-  const setKnownRevision = (asOf: number) =>
-    mirror.apply({ kind: "snapshot", entries: [], asOf });
+  const setKnownRevision = (asOf: number) => {
+    const now = clock.monotonicMs();
+    const times = { receivedMs: now, confirmedMs: now };
+    mirror.apply({ kind: "snapshot", entries: [], asOf }, times);
+  };
   return {
     clock,
     directory,
@@ -118,6 +121,39 @@
     expect(PEERS.map((id) => `${id}:1`)).to.include(selector.selectPeer());
   });
 
+  // Nodes whose peers did not pass on changes in time kept sending requests to
+  // endpoints that had said that they leave.
+  it("reads the store if its state has not been confirmed in time", async () => {
+    const { clock, selector, announcePeers, setKnownRevision } = setUp({
+      zones: "aaaa",
+    });
+    setKnownRevision(5);
+    announcePeers(5);
+    await clock.advance(1_100);
+    announcePeers(5);
+    expect([selector.isWatcher, selector.shouldReadStore])
+      .to.deep.equal([false, false]);
+    await clock.advance(1);
+    expect([selector.isWatcher, selector.shouldReadStore])
+      .to.deep.equal([false, true]);
+    setKnownRevision(5);
+    expect(selector.shouldReadStore).to.equal(false);
+  });
+
+  it("does not read the store while its connection to it is lost", async () => {
+    const { clock, selector, follower, announcePeers, setKnownRevision } =
+      setUp({ zones: "aaaa" });
+    setKnownRevision(5);
+    await clock.advance(2_000);
+    announcePeers(5);
+    follower.isReachable = false;
+    follower.lastFailureMs = 2_000;
+    expect(selector.shouldReadStore).to.equal(false);
+    await clock.advance(5_001);
+    announcePeers(5);
+    expect(selector.shouldReadStore).to.equal(true);
+  });
+
   it("limits the followers of each node", () => {
     const ids = Array.from({ length: 100 }, (_, index) => `n${index}`);
     const followers = new Map<string, number>();
