fix(dispatch): count the drain time from the removal of an entry

Now the time counts from when the node's state was last current, so that it can only end too early. State older than the drain time is that of an outage, in which entries lapse; a node that learns of its end from a peer waits for the endpoints to register again, as the watchers do.

Before: "counts the drain time from the removal of the entry" found the endpoint usable 1,800 ms after a removal that was heard of 1,200 ms late, bound 2,000 in all. After: it is gone after 600 ms.

--- a/packages/dispatch/src/deferred_removals.ts
+++ b/packages/dispatch/src/deferred_removals.ts
@@ -38,14 +38,15 @@
     this.#drainMs = drainMs;
   }
 
-  /** Schedules the removal of endpoint `id`, whose entry was deleted. */
-  entryRemoved(id: string): void {
+  /** Schedules the removal of endpoint `id`, whose entry was deleted at most
+   * `maxAgeMs` ago. */
+  entryRemoved(id: string, { maxAgeMs }: { maxAgeMs: number }): void {
     const graceRemainingMs = this.#lastOutageEndMs() + REREGISTRATION_GRACE_MS -
       this.#clock.monotonicMs();
     const isInGracePeriod = graceRemainingMs > 0;
     const delayMs = isInGracePeriod
       ? graceRemainingMs
-      : DRAIN_FRACTION * this.#drainMs;
+      : this.#lastResortMs(maxAgeMs);
     if (!isInGracePeriod) {
       this.#registry.demote(id);
     }
@@ -58,6 +59,14 @@
     }
   }
 
+  /** Time for which an endpoint whose entry was removed stays a last resort. */
+  #lastResortMs(maxAgeMs: number): number {
+    const drainingMs = DRAIN_FRACTION * this.#drainMs - maxAgeMs;
+    // State that is older than the drain time is that of an outage, which this
+    // node may have learnt of from its peers.
+    return drainingMs > 0 ? drainingMs : REREGISTRATION_GRACE_MS;
+  }
+
   /** Cancels the removal of endpoint `id`, whose entry exists. */
   entryPresent(id: string): void {
     this.#timers.get(id)?.cancel();
--- a/packages/dispatch/tests/endpoint_registry_test.ts
+++ b/packages/dispatch/tests/endpoint_registry_test.ts
@@ -67,13 +67,38 @@
       Number.NEGATIVE_INFINITY,
     );
     registry.put(entry("e2"));
-    removals.entryRemoved("e1");
+    removals.entryRemoved("e1", { maxAgeMs: 0 });
     expect(usable()).to.deep.equal(["e2/1"]);
   });
 
+  // A node that learnt late of a removal used the endpoint after its drain time.
+  it("counts the drain time from the removal of the entry", async () => {
+    const { clock, removals, usable } = setUpRemovals(Number.NEGATIVE_INFINITY);
+    removals.entryRemoved("e1", { maxAgeMs: 1_200 });
+    await clock.advance(599);
+    expect(usable()).to.deep.equal(["e1/1"]);
+    await clock.advance(1);
+    expect(usable()).to.deep.equal([]);
+  });
+
+  // Entries lapse in an outage of the store, also for nodes that learn of its end
+  // from their peers.
+  it("waits for a new registration if its state was out of date", async () => {
+    const { clock, registry, removals, usable } = setUpRemovals(
+      Number.NEGATIVE_INFINITY,
+    );
+    removals.entryRemoved("e1", { maxAgeMs: 6_000 });
+    await clock.advance(1_999);
+    expect(usable()).to.deep.equal(["e1/1"]);
+    registry.put(entry("e1"));
+    removals.entryPresent("e1");
+    await clock.advance(5_000);
+    expect(usable()).to.deep.equal(["e1/1"]);
+  });
+
   it("keeps the last endpoints usable while they drain", async () => {
     const { clock, removals, usable } = setUpRemovals(Number.NEGATIVE_INFINITY);
-    removals.entryRemoved("e1");
+    removals.entryRemoved("e1", { maxAgeMs: 0 });
     expect(usable()).to.deep.equal(["e1/1"]);
     await clock.advance(1_800);
     expect(usable()).to.deep.equal([]);
@@ -81,7 +106,7 @@
 
   it("waits for endpoints whose entries expired in an outage", async () => {
     const { clock, removals, usable } = setUpRemovals(0);
-    removals.entryRemoved("e1");
+    removals.entryRemoved("e1", { maxAgeMs: 0 });
     await clock.advance(1_900);
     expect(usable()).to.deep.equal(["e1/1"]);
     removals.entryPresent("e1");
@@ -91,7 +116,7 @@
 
   it("removes endpoints that do not return after an outage", async () => {
     const { clock, removals, usable } = setUpRemovals(0);
-    removals.entryRemoved("e1");
+    removals.entryRemoved("e1", { maxAgeMs: 0 });
     await clock.advance(2_000);
     expect(usable()).to.deep.equal([]);
   });
