fix(relay): end events at CRLF and CR as well

Callers of resumable streams whose endpoint ends lines with CRLF got nothing until the stream ended: only "\n\n" counted as the end of an event, so the whole stream was held back, in memory without bound. The format allows LF, CRLF and CR.

Before: "passes on events whose lines end in "\r\n"" and "\r" got no event. After: all three pass.

--- a/packages/relay/src/sse_framer.ts
+++ b/packages/relay/src/sse_framer.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
+import { lastEventEnd } from "./sse_boundary_tracker.ts";
 
-const EVENT_END = "\n\n";
-const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/g;
+const ID_LINE = /(?:^|[\r\n])id: ?([^\r\n]*)/g;
 const EMPTY = Buffer.alloc(0);
 
 /**
@@ -23,12 +23,11 @@
     const data = this.#partial.length === 0
       ? chunk
       : Buffer.concat([this.#partial, chunk]);
-    const lastBoundary = data.lastIndexOf(EVENT_END);
-    if (lastBoundary < 0) {
+    const end = lastEventEnd(data);
+    if (end < 0) {
       this.#partial = data;
       return EMPTY;
     }
-    const end = lastBoundary + EVENT_END.length;
     this.#partial = data.subarray(end);
     const complete = data.subarray(0, end);
     for (const [, id] of complete.toString("latin1").matchAll(ID_LINE)) {
