fix(relay): bound what an endless response of an endpoint costs

An endpoint in trouble may send bytes that are no answer and never end.

- An event that never ends: on a resumable route it was buffered whole until the caller's deadline, in memory without bound.
An event of over 256 KiB now ends the attempt as broken, so that the stream is resumed elsewhere or cut off.
- The body of a refusal or of a response that is retried elsewhere was read on without end, its connection never closed and its load counted for ever.
It is read for 64 KiB or 1 s.
- A body that never ends, up to the deadline, counted for nothing, so the endpoint got the next request.
Now it counts as a failed request, unless it is a stream with complete events or the caller was too slow to read it.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -10,6 +10,7 @@
 } from "./invariant.ts";
 export { HOP_BY_HOP_HEADERS } from "./hop_by_hop_headers.ts";
 export { HttpService } from "./http_service.ts";
+export { limitInformationalResponses } from "./limit_informational_responses.ts";
 export { listenOn, splitHostPort } from "./listen_on.ts";
 export { ManualClock } from "./manual_clock.ts";
 export { parseJson } from "./parse_json.ts";
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -1,7 +1,11 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
 import * as net from "node:net";
-import { type Clock, splitHostPort } from "@limpetshed/base";
+import {
+  type Clock,
+  limitInformationalResponses,
+  splitHostPort,
+} from "@limpetshed/base";
 import { Client, type Dispatcher } from "undici";
 
 /** A request to send to an endpoint. */
@@ -67,6 +71,7 @@
 export class EndpointConnection {
   readonly #options: EndpointConnectionOptions;
   readonly #client: Client;
+  readonly #dispatcher: Dispatcher;
   #socketError: Error | undefined;
   #lastUsedMs: number;
   #exchangeCount = 0;
@@ -86,6 +91,7 @@
       maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
       connect: (_opts, done) => this.#connect(done),
     });
+    this.#dispatcher = this.#client.compose(limitInformationalResponses());
     this.#client.on("disconnect", () => this.close());
     this.#client.on("connectionError", () => this.close());
   }
@@ -114,7 +120,7 @@
   /** Sends a request and reports its response to `handler`. */
   exchange(req: OutgoingRequest, handler: ExchangeHandler): void {
     this.#exchangeCount += 1;
-    this.#client.dispatch(
+    this.#dispatcher.dispatch(
       {
         method: req.method,
         path: req.path,
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -134,6 +134,12 @@
     return this.#server.inFlight;
   }
 
+  /** Records that an endpoint gave no valid response to a request of this node's
+   * own; clients' requests then avoid it for a time. */
+  recordEndpointFailure({ key }: Endpoint): void {
+    this.#outlierDetector.recordConnectionFailure(key);
+  }
+
   /** Starts listening for clients (`front`) and for readiness checks (`ready`),
    * both `ip:port`. */
   async listen({ front, ready }: {
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -123,10 +123,12 @@
       format,
       framer,
       repeatable: isRetryable(request.route),
-      now: () => clock.monotonicMs(),
+      clock,
       onUsableHead: (headMs) =>
         this.#options.outlierDetector.recordHeadersTime(endpoint.key, headMs),
       onServerError: () => this.#onServerError(request, endpoint),
+      onEndlessDiscard: () =>
+        this.#options.outlierDetector.recordConnectionFailure(endpoint.key),
     });
     const result = await this.#trackAttempt(request, attempt);
     this.#recordResult(request, endpoint, result);
@@ -218,8 +220,9 @@
     if (request.signal.aborted) {
       const reason = request.signal.reason as AbortReason;
       // A deadline counts as a failure of the endpoint only if no response head
-      // has arrived.
-      if (reason === "time_over" && result.headMs === undefined) {
+      // has arrived, or a body without end.
+      const isEndpointsFault = result.headMs === undefined || result.overran;
+      if (reason === "time_over" && isEndpointsFault) {
         this.#options.outlierDetector.recordFailedRequest(endpoint.key);
       }
       return;
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -1,5 +1,5 @@
 import type { Buffer } from "node:buffer";
-import { deferred } from "@limpetshed/base";
+import { type Clock, deferred, type Timer } from "@limpetshed/base";
 import type { Endpoint, LoadTracker, SendOutcome } from "@limpetshed/dispatch";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type {
@@ -9,8 +9,9 @@
   ResponseHead,
 } from "./endpoint_connection.ts";
 import { filterHeaders, hopByHopHeaders } from "./hop_by_hop_headers.ts";
-import type { RelayRequest } from "./relay_request.ts";
+import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
+import { SseBoundaryTracker } from "./sse_boundary_tracker.ts";
 import type { SseFramer } from "./sse_framer.ts";
 import type { ResponseMetadata, WireFormat } from "./wire_format.ts";
 
@@ -23,6 +24,9 @@
   reason?: string;
   /** Milliseconds from the start of sending to the response head. */
   headMs?: number;
+  /** Whether the deadline passed while the endpoint sent a body that has no end:
+   * it is not a stream of events, and the client read it as it came. */
+  overran?: boolean;
 }
 
 /** Options of {@linkcode SendAttempt}. */
@@ -40,15 +44,26 @@
   /** Whether the request may run twice; if not, the pool hands out only new or
    * recently used connections. */
   repeatable: boolean;
-  /** Monotonic time, milliseconds. */
-  now: () => number;
+  clock: Clock;
   /** Called with the time to the head of a usable response, milliseconds. */
   onUsableHead: (headMs: number) => void;
   /** Called on a server error of the endpoint; if it returns true, the request
    * is retried and the response is discarded. */
   onServerError: () => boolean;
+  /** Called if the body of a response that is not relayed does not end. */
+  onEndlessDiscard: () => void;
 }
 
+/** Longest event of a stream; far above what a few tokens take, and little enough
+ * to be buffered for each request. */
+const MAX_EVENT_BYTES = 262_144;
+/** Limits on reading the body of a response that is not relayed, which makes its
+ * connection usable again: closing it is cheaper beyond them. */
+const MAX_DISCARDED_BYTES = 65_536;
+const MAX_DISCARD_MS = 1_000;
+
+const EVENT_STREAM_TYPE = "text/event-stream";
+
 /** Statuses that tell a client that its request has not run. A response with
  * one of them is not relayed if the endpoint did not set the not-run header. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -64,6 +79,11 @@
   #head: ResponseHead | undefined;
   #headMs: number | undefined;
   #isCleanedUp = false;
+  /** Set while relaying a stream of events. */
+  #events: SseBoundaryTracker | undefined;
+  #isPaused = false;
+  #discardedBytes = 0;
+  #discardTimer: Timer | undefined;
 
   constructor(options: SendAttemptOptions) {
     this.#options = options;
@@ -89,12 +109,12 @@
 
   onSend(): void {
     this.#hasStartedSending = true;
-    this.#sendStartMs = this.#options.now();
+    this.#sendStartMs = this.#options.clock.monotonicMs();
   }
 
   onHead(head: ResponseHead): void {
     this.#head = head;
-    this.#headMs = this.#options.now() - this.#sendStartMs;
+    this.#headMs = this.#options.clock.monotonicMs() - this.#sendStartMs;
     const { format, endpointLoads, endpoint, request } = this.#options;
     const metadata = format.parseResponse(head.status, head.headers);
     const matchesRequest = metadata.requestId === request.requestId;
@@ -107,12 +127,20 @@
       this.#state = "discarding";
       // After a rejected or failed response the connection is still usable and
       // returns to the pool at the end of the body.
-      if (unusable.outcome !== "rejected" && unusable.outcome !== "failed") {
+      if (unusable.outcome === "rejected" || unusable.outcome === "failed") {
+        this.#discardTimer = this.#options.clock.setTimer(
+          MAX_DISCARD_MS,
+          () => this.#abandonDiscard(),
+        );
+      } else {
         this.#connection.close();
       }
       return;
     }
     this.#state = "relaying";
+    if (head.headers["content-type"]?.startsWith(EVENT_STREAM_TYPE) === true) {
+      this.#events = new SseBoundaryTracker();
+    }
     this.#options.onUsableHead(this.#headMs);
     if (!this.#options.writer.isHeadSent) {
       const hopByHop = hopByHopHeaders(head.headers.connection);
@@ -124,14 +152,31 @@
   }
 
   onData(chunk: Buffer, control: ExchangeControl): void {
+    if (this.#state === "discarding") {
+      this.#discardedBytes += chunk.length;
+      if (this.#discardedBytes > MAX_DISCARDED_BYTES) {
+        this.#abandonDiscard();
+      }
+    }
     if (this.#state !== "relaying") {
       return;
     }
+    this.#events?.push(chunk);
+    if ((this.#events?.openEventBytes ?? 0) > MAX_EVENT_BYTES) {
+      this.#cleanUp();
+      this.#settle("broken", `an event exceeds ${MAX_EVENT_BYTES} bytes`);
+      this.#connection.close();
+      return;
+    }
     const { framer, writer } = this.#options;
     const bytes = framer === undefined ? chunk : framer.push(chunk);
     if (bytes.length > 0 && !writer.write(bytes)) {
       control.pause();
-      writer.onDrain(() => control.resume());
+      this.#isPaused = true;
+      writer.onDrain(() => {
+        this.#isPaused = false;
+        control.resume();
+      });
     }
   }
 
@@ -179,6 +224,22 @@
     this.#connection.close();
   };
 
+  /** Closes the connection on which a body that is not relayed goes on. */
+  #abandonDiscard(): void {
+    this.#cleanUp();
+    this.#state = "settled";
+    this.#options.onEndlessDiscard();
+    this.#connection.close();
+  }
+
+  /** Whether the endpoint was still sending a body without end when the request
+   * was aborted. */
+  #hasOverrun(): boolean {
+    const reason = this.#options.request.signal.reason as AbortReason;
+    return this.#state === "relaying" && reason === "time_over" &&
+      !this.#isPaused && this.#events?.hasEvents !== true;
+  }
+
   /** Returns why a response must not be relayed, or undefined if it may be. */
   #classifyUnusable(
     head: ResponseHead,
@@ -229,9 +290,12 @@
   }
 
   #headers(): string[] {
-    const { request, format, endpoint, framer, now } = this.#options;
+    const { request, format, endpoint, framer, clock } = this.#options;
     const metadata = {
-      timeLeftMs: Math.max(1, Math.floor(request.deadlineMs - now())),
+      timeLeftMs: Math.max(
+        1,
+        Math.floor(request.deadlineMs - clock.monotonicMs()),
+      ),
       endpointId: endpoint.entry.id,
       account: request.account,
       copyFrom: this.#options.copyFrom?.entry.address,
@@ -259,6 +323,7 @@
   #cleanUp(): void {
     if (!this.#isCleanedUp) {
       this.#isCleanedUp = true;
+      this.#discardTimer?.cancel();
       this.#options.endpointLoads.end(this.#options.endpoint.key);
       this.#options.request.signal.removeEventListener("abort", this.#onAbort);
     }
@@ -270,6 +335,7 @@
       status: this.#head?.status,
       reason,
       headMs: this.#headMs,
+      overran: this.#hasOverrun(),
     });
     this.#state = "settled";
   }
