--- a/packages/dispatch/src/prefix_cache_recovery.ts
+++ b/packages/dispatch/src/prefix_cache_recovery.ts
@@ -13,6 +13,8 @@
   assignedEndpoints: () => readonly Endpoint[];
   /** Fetches the ids of the parts that an endpoint caches. */
   fetchPartIds: (endpoint: Endpoint) => Promise<string[]>;
+  /** Called for each endpoint that gave no valid response. */
+  onEndpointFailed: (endpoint: Endpoint) => void;
 }
 
 /** Result of a recovery. */
@@ -66,6 +68,7 @@
     cacheIndex,
     assignedEndpoints,
     fetchPartIds,
+    onEndpointFailed,
   }: PrefixCacheRecoveryOptions,
 ): Promise<PrefixCacheRecovery> {
   const endpoints = assignedEndpoints();
@@ -75,6 +78,7 @@
   results.forEach((result, index) => {
     if (result.status === "rejected") {
       failed += 1;
+      onEndpointFailed(endpoints[index]!);
       return;
     }
     parts += result.value.length;
--- a/packages/dispatch/tests/prefix_cache_recovery_test.ts
+++ b/packages/dispatch/tests/prefix_cache_recovery_test.ts
@@ -16,6 +16,7 @@
   const cacheIndex = new PrefixCacheIndex({ clock });
   const { signal } = new AbortController();
   const queriedKeys: string[] = [];
+  const failedKeys: string[] = [];
   const options = {
     clock,
     cacheIndex,
@@ -27,8 +28,9 @@
         ? Promise.resolve(["t1", "t2"])
         : Promise.reject(new Error("unreachable"));
     },
+    onEndpointFailed: ({ key }: Endpoint) => failedKeys.push(key),
   };
-  return { clock, cacheIndex, queriedKeys, options };
+  return { clock, cacheIndex, queriedKeys, failedKeys, options };
 }
 
 describe("recoverPrefixCache when nodes restart", () => {
@@ -45,7 +47,7 @@
   });
 
   it("queries endpoints and sends updates if no node responds", async () => {
-    const { clock, cacheIndex, options } = setUp();
+    const { clock, cacheIndex, failedKeys, options } = setUp();
     const recovering = recoverPrefixCache({
       ...options,
       fetchFromPeer: () => Promise.reject(new Error("no node responds")),
@@ -56,6 +58,7 @@
       parts: 2,
       failed: 1,
     });
+    expect(failedKeys).to.deep.equal(["e2/1"]);
     expect([...cacheIndex.endpointsCaching("t1")]).to.deep.equal(["e1/1"]);
     expect(cacheIndex.takeUpdates().map(({ partId }) => partId)).to.deep.equal([
       "t1",
--- a/packages/fleet_relay/src/placement_recovery.ts
+++ b/packages/fleet_relay/src/placement_recovery.ts
@@ -85,6 +85,7 @@
       fetchFromPeer: () => this.#fetchFromPeer(),
       assignedEndpoints: () => this.#assignedEndpoints(),
       fetchPartIds: (endpoint) => fetchCachedPartIds(endpoint, { signal }),
+      onEndpointFailed: (endpoint) => node.recordEndpointFailure(endpoint),
     });
     this.#client.close();
     this.#isComplete = true;
