fix(endpoint): bound endless responses of endpoints

The endpoint client of the OpenAI-compatible interface read the body of a refusal until the caller's deadline at the latest, buffered a server-sent event of any size, and did not report an answer beyond the size limit as a lost connection, so the endpoint's owner did not probe it. Refusals are now read for 64 KiB or 1 s, events up to 256 KiB, and an answer that is too large makes the endpoint suspect.

--- a/packages/endpoint/src/endpoint_http.ts
+++ b/packages/endpoint/src/endpoint_http.ts
@@ -18,6 +18,12 @@
 export const NOT_RUN_HEADER = "x-not-run";
 
 const MAX_RESPONSE_BYTES = 16 * 1_048_576;
+/** Longest server-sent event, in characters; far above what a few tokens take. */
+const MAX_EVENT_CHARS = 262_144;
+/** Limits on reading a body that is not used, which makes its connection usable
+ * again: closing it is cheaper beyond them. */
+const MAX_DISCARDED_BYTES = 65_536;
+const MAX_DISCARD_MS = 1_000;
 
 /** An HTTP request to an endpoint. */
 export interface EndpointRequest {
@@ -58,7 +64,9 @@
 ): AsyncIterable<StreamEvent> {
   const events = Readable.toWeb(body)
     .pipeThrough(new TextDecoderStream())
-    .pipeThrough(new EventSourceParserStream());
+    .pipeThrough(
+      new EventSourceParserStream({ maxBufferSize: MAX_EVENT_CHARS }),
+    );
   try {
     for await (const event of events) {
       const sequence = Number(event.id);
@@ -71,6 +79,15 @@
   }
 }
 
+/** Reads a body that is not used to its end, so that its connection can be reused;
+ * closes the connection if the body is long or slow. */
+export async function drain(body: Dispatcher.ResponseData["body"]) {
+  const signal = AbortSignal.timeout(MAX_DISCARD_MS);
+  await body.dump({ limit: MAX_DISCARDED_BYTES, signal }).catch(() =>
+    discard(body)
+  );
+}
+
 /** Discards the rest of a body and ignores its errors. */
 function discard(body: Readable): void {
   body.on("error", () => undefined);
@@ -85,7 +102,9 @@
     bytes += (chunk as Buffer).length;
     if (bytes > MAX_RESPONSE_BYTES) {
       discard(body);
-      throw new EndpointError("endpoint_failed", "the answer is too large");
+      throw new EndpointError("endpoint_failed", "the answer is too large", {
+        connectionLost: true,
+      });
     }
     chunks.push(chunk as Buffer);
   }
--- a/packages/endpoint/src/http_endpoint_client.ts
+++ b/packages/endpoint/src/http_endpoint_client.ts
@@ -1,4 +1,5 @@
 import { Client, type Dispatcher, Pool } from "undici";
+import { limitInformationalResponses } from "@limpetshed/base";
 import type { Metrics } from "@limpetshed/observe";
 import { readChatStream } from "./chat_stream.ts";
 import {
@@ -17,6 +18,7 @@
   brokenResponseError,
   chatRequest,
   checkRequestId,
+  drain,
   type EndpointRequest,
   jsonRequest,
   NOT_RUN_HEADER,
@@ -234,7 +236,10 @@
     const state: SendState = { writeStarted: false };
     let res: Dispatcher.ResponseData;
     try {
-      res = await dispatcher.compose(trackSend(state)).request({
+      res = await dispatcher.compose(
+        limitInformationalResponses(),
+        trackSend(state),
+      ).request({
         ...req,
         signal,
         headersTimeout: this.#firstByteTimeoutMs,
@@ -244,7 +249,7 @@
       throw sendError(err, state, signal);
     }
     if (res.statusCode === 503 && res.headers[NOT_RUN_HEADER] === "true") {
-      await res.body.dump();
+      await drain(res.body);
       throw new EndpointError("endpoint_refused", "the endpoint refused");
     }
     return res;
