fix(fleet): take a state without a valid age for an old one

Found by reading: an age that is not a number, from a faulty node, made the time at which the state was last current NaN for good, so the node never read the store itself again. It now counts as infinitely old.

Before: "take a state whose age is not valid for an old one" got NaN. After: it passes.

--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -61,11 +61,18 @@
       path,
       signal,
     });
-    const ageAtSenderMs = Number(headers[STATE_AGE_HEADER] ?? 0);
     return {
       ...decodeUpdate(value),
-      ageMs: ageAtSenderMs + this.#clock.monotonicMs() - headMs,
+      ageMs: decodeAge(headers[STATE_AGE_HEADER]) +
+        this.#clock.monotonicMs() - headMs,
       sender: address,
     };
   }
 }
+
+/** Decodes the age of the sender's state; 0 if it is missing, as in responses of
+ * earlier releases, and infinite if it is not a valid age. */
+function decodeAge(header: string | string[] | undefined): number {
+  const ageMs = Number(header ?? 0);
+  return ageMs >= 0 ? ageMs : Number.POSITIVE_INFINITY;
+}
--- a/packages/fleet/tests/peer_change_source_test.ts
+++ b/packages/fleet/tests/peer_change_source_test.ts
@@ -116,6 +116,15 @@
     expect(sender).to.equal(address);
   });
 
+  it("take a state whose age is not valid for an old one", async () => {
+    const { source } = await connect((res) => {
+      res.setHeader("limpetshed-state-age-ms", "soon");
+      res.end(EMPTY_BATCH);
+    });
+    const { ageMs } = await source.waitForChanges(4, { signal });
+    expect(ageMs).to.equal(Number.POSITIVE_INFINITY);
+  });
+
   it("transfer a large update compressed", async () => {
     const value = JSON.stringify(Array.from({ length: 2_000 }, (_, i) => i));
     const mirror = new KeyMirror();
