--- /dev/null
+++ b/packages/relay/src/response_body.ts
@@ -0,0 +1,49 @@
+import type { Buffer } from "node:buffer";
+import type { ResponseHead } from "./endpoint_connection.ts";
+import { SseBoundaryTracker } from "./sse_boundary_tracker.ts";
+
+/** What tells the end of a response body: its length, its last chunk, or the end
+ * of the connection. RFC 9112, section 6.3. */
+export type BodyFraming = "length" | "chunked" | "close";
+
+const EVENT_STREAM_TYPE = "text/event-stream";
+
+/** Follows the body of an endpoint's response without buffering it. */
+export class ResponseBody {
+  readonly framing: BodyFraming;
+  readonly #events: SseBoundaryTracker | undefined;
+  #receivedBytes = 0;
+
+  constructor({ headers }: ResponseHead) {
+    this.framing = headers["transfer-encoding"] !== undefined
+      ? "chunked"
+      : headers["content-length"] !== undefined
+      ? "length"
+      : "close";
+    if (headers["content-type"]?.startsWith(EVENT_STREAM_TYPE) === true) {
+      this.#events = new SseBoundaryTracker();
+    }
+  }
+
+  /** Bytes received from the endpoint. */
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
+  /** Bytes received since the end of the last complete event of a stream;
+   * undefined if the body is not a stream of events. */
+  get openEventBytes(): number | undefined {
+    return this.#events?.openEventBytes;
+  }
+
+  /** Whether an event was complete. */
+  get hasEvents(): boolean {
+    return this.#events?.hasEvents === true;
+  }
+
+  /** Takes note of received bytes. */
+  push(chunk: Buffer): void {
+    this.#receivedBytes += chunk.length;
+    this.#events?.push(chunk);
+  }
+}
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -10,8 +10,8 @@
 } from "./endpoint_connection.ts";
 import { filterHeaders, hopByHopHeaders } from "./hop_by_hop_headers.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
+import { type BodyFraming, ResponseBody } from "./response_body.ts";
 import type { ResponseWriter } from "./response_writer.ts";
-import { SseBoundaryTracker } from "./sse_boundary_tracker.ts";
 import type { SseFramer } from "./sse_framer.ts";
 import type { ResponseMetadata, WireFormat } from "./wire_format.ts";
 
@@ -27,6 +27,13 @@
   /** Whether the deadline passed while the endpoint sent a body that has no end:
    * it is not a stream of events, and the client read it as it came. */
   overran?: boolean;
+  framing?: BodyFraming;
+  /** Body bytes received from the endpoint. */
+  receivedBytes?: number;
+  /** Body bytes written to the client. */
+  relayedBytes?: number;
+  /** Bytes received after the last complete event of a stream. */
+  openEventBytes?: number;
 }
 
 /** Options of {@linkcode SendAttempt}. */
@@ -62,8 +69,6 @@
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MS = 1_000;
 
-const EVENT_STREAM_TYPE = "text/event-stream";
-
 /** Statuses that tell a client that its request has not run. A response with
  * one of them is not relayed if the endpoint did not set the not-run header. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -79,8 +84,9 @@
   #head: ResponseHead | undefined;
   #headMs: number | undefined;
   #isCleanedUp = false;
-  /** Set while relaying a stream of events. */
-  #events: SseBoundaryTracker | undefined;
+  /** Set while relaying. */
+  #body: ResponseBody | undefined;
+  #relayedBytes = 0;
   #isPaused = false;
   #discardedBytes = 0;
   #discardTimer: Timer | undefined;
@@ -138,9 +144,7 @@
       return;
     }
     this.#state = "relaying";
-    if (head.headers["content-type"]?.startsWith(EVENT_STREAM_TYPE) === true) {
-      this.#events = new SseBoundaryTracker();
-    }
+    this.#body = new ResponseBody(head);
     this.#options.onUsableHead(this.#headMs);
     if (!this.#options.writer.isHeadSent) {
       const hopByHop = hopByHopHeaders(head.headers.connection);
@@ -161,8 +165,8 @@
     if (this.#state !== "relaying") {
       return;
     }
-    this.#events?.push(chunk);
-    if ((this.#events?.openEventBytes ?? 0) > MAX_EVENT_BYTES) {
+    this.#body?.push(chunk);
+    if ((this.#body?.openEventBytes ?? 0) > MAX_EVENT_BYTES) {
       this.#cleanUp();
       this.#settle("broken", `an event exceeds ${MAX_EVENT_BYTES} bytes`);
       this.#connection.close();
@@ -170,6 +174,7 @@
     }
     const { framer, writer } = this.#options;
     const bytes = framer === undefined ? chunk : framer.push(chunk);
+    this.#relayedBytes += bytes.length;
     if (bytes.length > 0 && !writer.write(bytes)) {
       control.pause();
       this.#isPaused = true;
@@ -193,6 +198,7 @@
       }
       const rest = framer?.flush();
       if (rest !== undefined && rest.length > 0) {
+        this.#relayedBytes += rest.length;
         writer.write(rest);
       }
       writer.end();
@@ -237,7 +243,7 @@
   #hasOverrun(): boolean {
     const reason = this.#options.request.signal.reason as AbortReason;
     return this.#state === "relaying" && reason === "time_over" &&
-      !this.#isPaused && this.#events?.hasEvents !== true;
+      !this.#isPaused && this.#body?.hasEvents !== true;
   }
 
   /** Returns why a response must not be relayed, or undefined if it may be. */
@@ -336,6 +342,10 @@
       reason,
       headMs: this.#headMs,
       overran: this.#hasOverrun(),
+      framing: this.#body?.framing,
+      receivedBytes: this.#body?.receivedBytes,
+      relayedBytes: this.#body === undefined ? undefined : this.#relayedBytes,
+      openEventBytes: this.#body?.openEventBytes,
     });
     this.#state = "settled";
   }
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -73,6 +73,10 @@
       headMs: result.headMs === undefined
         ? undefined
         : Math.round(result.headMs),
+      framing: result.framing,
+      receivedBytes: result.receivedBytes,
+      relayedBytes: result.relayedBytes,
+      openEventBytes: result.openEventBytes,
       configVersion: request.configVersion,
     }));
   }
