--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -190,6 +190,11 @@
     });
   }
 
+  /** Address for clients, `ip:port`. */
+  get address(): string {
+    return this.#address;
+  }
+
   /** Opens a request without ending it. */
   open(
     path: string,
