fix(relay): take a stream that ends inside an event for a broken one

Cause: the answers had neither a length nor chunks and ended with their connection, which the endpoint's system closed in an orderly way. The relay took any orderly close for the end of the response.

A stream of events says itself when it is broken off: it ends inside an event. Complete comments after the last event belong to no event and break nothing. Streams go out in chunks even if they came with a length, since a client that has read its length cannot be told any more.

--- a/packages/relay/src/response_body.ts
+++ b/packages/relay/src/response_body.ts
@@ -25,6 +25,11 @@
     }
   }
 
+  /** Whether the body is a stream of events. */
+  get isEventStream(): boolean {
+    return this.#events !== undefined;
+  }
+
   /** Bytes received from the endpoint. */
   get receivedBytes(): number {
     return this.#receivedBytes;
@@ -41,6 +46,17 @@
     return this.#events?.hasEvents === true;
   }
 
+  /** Returns why the body is not complete though its connection or framing has
+   * ended in an orderly way; undefined if nothing says so. */
+  endFault(socketError: Error | undefined): string | undefined {
+    if (this.framing === "close" && socketError !== undefined) {
+      return "connection reset during a response without a length";
+    }
+    return this.#events?.isInsideEvent === true
+      ? "the stream ended inside an event"
+      : undefined;
+  }
+
   /** Takes note of received bytes. */
   push(chunk: Buffer): void {
     this.#receivedBytes += chunk.length;
--- a/packages/relay/src/response_writer.ts
+++ b/packages/relay/src/response_writer.ts
@@ -31,6 +31,11 @@
     return !this.#res.destroyed && !this.#res.writableEnded;
   }
 
+  /** Whether the client reads chunks, which HTTP/1.0 does not know. */
+  get supportsChunks(): boolean {
+    return this.#res.req.httpVersion !== "1.0";
+  }
+
   /** Sends the head of an endpoint's response. */
   sendHead(status: number, headers: string[]): void {
     if (this.#isStopping()) {
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -147,14 +147,27 @@
     this.#body = new ResponseBody(head);
     this.#options.onUsableHead(this.#headMs);
     if (!this.#options.writer.isHeadSent) {
-      const hopByHop = hopByHopHeaders(head.headers.connection);
-      this.#options.writer.sendHead(
-        head.status,
-        filterHeaders(head.rawHeaders, (name) => !hopByHop.has(name)),
-      );
+      this.#sendHead(head, this.#body);
     }
   }
 
+  #sendHead(
+    { status, headers, rawHeaders }: ResponseHead,
+    { isEventStream }: ResponseBody,
+  ): void {
+    const { writer } = this.#options;
+    const dropped = hopByHopHeaders(headers.connection);
+    if (isEventStream && writer.supportsChunks) {
+      // The stream may be found broken after its last byte, and another endpoint
+      // that resumes it may send events of other lengths.
+      dropped.add("content-length");
+    }
+    writer.sendHead(
+      status,
+      filterHeaders(rawHeaders, (name) => !dropped.has(name)),
+    );
+  }
+
   onData(chunk: Buffer, control: ExchangeControl): void {
     if (this.#state === "discarding") {
       this.#discardedBytes += chunk.length;
@@ -189,11 +202,10 @@
     this.#cleanUp();
     const { pool, endpoint, writer, framer } = this.#options;
     if (this.#state === "relaying") {
-      if (this.#wasCloseDelimitedResponseReset()) {
-        this.#settle(
-          "broken",
-          "connection reset during a response without a length",
-        );
+      const fault = this.#body?.endFault(this.#connection.socketError);
+      if (fault !== undefined) {
+        this.#settle("broken", fault);
+        this.#connection.close();
         return;
       }
       const rest = framer?.flush();
@@ -317,15 +329,6 @@
     return [...kept, ...format.requestHeaders(metadata)];
   }
 
-  /** Whether a close-delimited response, which has neither a length nor chunked
-   * encoding, was cut off by a connection reset. */
-  #wasCloseDelimitedResponseReset(): boolean {
-    const headers = this.#head?.headers ?? {};
-    return headers["content-length"] === undefined &&
-      headers["transfer-encoding"] === undefined &&
-      this.#connection.socketError !== undefined;
-  }
-
   #cleanUp(): void {
     if (!this.#isCleanedUp) {
       this.#isCleanedUp = true;
