fix(relay): reset the connection of a broken response that ends with it

A caller with HTTP/1.0 whose response has no length reads until its connection closes. After a broken response, at the deadline and at the end of the node the relay destroyed the connection, which the system closes in an orderly way: the response looked complete.

Such connections are now reset, also when the node ends, for as long as the response is not flushed. Callers with HTTP/1.1 get chunks, whose end they see, so nothing changes for them. A reset may cost a caller bytes it has not read; an orderly close would say that there are none.

--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -57,6 +57,7 @@
   readonly #options: RelayServerOptions;
   readonly #server: http.Server;
   readonly #inFlight = new Set<RelayRequest>();
+  readonly #writers = new Set<ResponseWriter>();
   readonly #startedMs: number;
 
   constructor(options: RelayServerOptions) {
@@ -94,6 +95,7 @@
   /** Closes the server and destroys all connections. */
   close(): void {
     this.#server.close();
+    this.#writers.forEach((writer) => writer.abort());
     this.#server.closeAllConnections();
   }
 
@@ -112,6 +114,8 @@
       isStopping: () => this.#options.shutdown.isStopping,
     });
     const metadata = this.#options.format.parseRequest(req.headers);
+    this.#writers.add(writer);
+    res.once("close", () => this.#writers.delete(writer));
     try {
       await this.#processAndObserve(req, { res, writer, metadata });
     } catch (thrown) {
--- a/packages/relay/src/response_writer.ts
+++ b/packages/relay/src/response_writer.ts
@@ -14,6 +14,7 @@
 export class ResponseWriter {
   readonly #res: ServerResponse;
   readonly #isStopping: () => boolean;
+  #isCloseDelimited = false;
 
   constructor({ res, isStopping }: ResponseWriterOptions) {
     this.#res = res;
@@ -41,6 +42,10 @@
     if (this.#isStopping()) {
       this.#res.shouldKeepAlive = false;
     }
+    this.#isCloseDelimited = !this.supportsChunks &&
+      !headers.some((name, index) =>
+        index % 2 === 0 && name.toLowerCase() === "content-length"
+      );
     this.#res.writeHead(status, headers);
     this.#res.flushHeaders();
   }
@@ -64,7 +69,12 @@
   /** Destroys the connection, so that a partial response cannot be taken for a
    * complete one. */
   abort(): void {
-    this.#res.destroy();
+    if (this.#isCloseDelimited && !this.#res.writableFinished) {
+      // An orderly close would be the end of the response.
+      this.#res.socket?.resetAndDestroy();
+    } else {
+      this.#res.destroy();
+    }
   }
 
   /** Responds with an error, or aborts if the response has already started. */
--- a/packages/relay/tests/broken_off_response_test.ts
+++ b/packages/relay/tests/broken_off_response_test.ts
@@ -293,6 +293,41 @@
     });
   }
 
+  for (const version of ["1.0", "1.1"] as const) {
+    // The end of the node cut what its caller had not read of a whole response.
+    it(`shows the end of the node to a caller with HTTP/${version} that reads a whole response slowly`, async () => {
+      const body = `data: ${"x".repeat(60_000)}\n\n`.repeat(150);
+      await fixture.start(answer({ body }));
+      const response = await send("/chat/", {
+        version,
+        onFirstBytes: (socket) => {
+          socket.pause();
+          setTimeout(() => {
+            fixture.node.close();
+            socket.resume();
+          }, 300);
+        },
+      });
+      expect(response.isComplete).to.equal(response.body.length >= body.length);
+    });
+
+    it(`completes a response that a caller with HTTP/${version} reads slowly during a graceful shutdown`, async () => {
+      const body = `data: ${"x".repeat(60_000)}\n\n`.repeat(150);
+      await fixture.start(answer({ body }));
+      let stopped = Promise.resolve();
+      const response = await send("/chat/", {
+        version,
+        onFirstBytes: (socket) => {
+          socket.pause();
+          stopped = fixture.node.stop({ graceMs: 3_000 });
+          setTimeout(() => socket.resume(), 2_500);
+        },
+      });
+      expect(response).to.deep.equal({ status: 200, body, isComplete: true });
+      await stopped;
+    });
+  }
+
   // A caller got the broken response though the request may run again.
   for (const framing of FRAMINGS) {
     it(`repeats a safe request whose response with framing ${framing} is reset`, async () => {
