fix(relay): keep a connection until its response is flushed

During a planned stop a caller that reads slowly lost the rest of a response that the node had whole: Node.js takes a connection whose response has ended, flushed or not, for idle, and the node closes idle connections and counts the request as finished. A caller with HTTP/1.0 could take what it had for the whole response.

The response is ended once its last bytes are flushed, and the request counts as in flight until then, within the grace time.

--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -231,7 +231,7 @@
       await forwarder.forward(request, writer);
     } finally {
       timer.cancel();
-      this.#inFlight.delete(request);
+      void writer.closed().then(() => this.#inFlight.delete(request));
     }
   }
 }
--- a/packages/relay/src/response_writer.ts
+++ b/packages/relay/src/response_writer.ts
@@ -15,6 +15,8 @@
   readonly #res: ServerResponse;
   readonly #isStopping: () => boolean;
   #isCloseDelimited = false;
+  #unflushedWrites = 0;
+  #isEnding = false;
 
   constructor({ res, isStopping }: ResponseWriterOptions) {
     this.#res = res;
@@ -53,7 +55,13 @@
   /** Writes body bytes; returns false if the write buffer is full and writing
    * should pause until `onDrain`. */
   write(chunk: Buffer): boolean {
-    return this.#res.write(chunk);
+    this.#unflushedWrites += 1;
+    return this.#res.write(chunk, () => {
+      this.#unflushedWrites -= 1;
+      if (this.#isEnding && this.#unflushedWrites === 0) {
+        this.#res.end();
+      }
+    });
   }
 
   /** Calls `fn` once the write buffer has drained. */
@@ -61,9 +69,23 @@
     this.#res.once("drain", fn);
   }
 
-  /** Ends a complete response. */
+  /** Ends a complete response once it is flushed: Node.js takes a connection
+   * whose response has ended for idle, and closes it during a shutdown. */
   end(): void {
-    this.#res.end();
+    this.#isEnding = true;
+    if (this.#unflushedWrites === 0) {
+      this.#res.end();
+    }
+  }
+
+  /** Resolves when the response is flushed or its connection has closed. */
+  async closed(): Promise<void> {
+    if (!this.#res.writableFinished && !this.#res.destroyed) {
+      await new Promise<void>((resolve) => {
+        this.#res.once("finish", resolve);
+        this.#res.once("close", resolve);
+      });
+    }
   }
 
   /** Destroys the connection, so that a partial response cannot be taken for a
