refactor(relay): decide in a function of its own whether a response is usable

What makes a response unusable depends on its head alone and moves out unchanged, except that the comparison of request ids is written once.

--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -1,6 +1,7 @@
 import type { Buffer } from "node:buffer";
 import { type Clock, deferred, type Timer } from "@limpetshed/base";
 import type { Endpoint, LoadTracker, SendOutcome } from "@limpetshed/dispatch";
+import { classifyUnusable } from "./classify_response.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type {
   EndpointConnection,
@@ -13,7 +14,7 @@
 import { type BodyFraming, ResponseBody } from "./response_body.ts";
 import type { ResponseWriter } from "./response_writer.ts";
 import type { SseFramer } from "./sse_framer.ts";
-import type { ResponseMetadata, WireFormat } from "./wire_format.ts";
+import type { WireFormat } from "./wire_format.ts";
 
 /** Result of one attempt to send a request to an endpoint. */
 export interface SendResult {
@@ -69,10 +70,6 @@
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MS = 1_000;
 
-/** Statuses that tell a client that its request has not run. A response with
- * one of them is not relayed if the endpoint did not set the not-run header. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
 /** Sends a request to one endpoint and relays the response to the client. */
 export class SendAttempt implements ExchangeHandler {
   readonly #options: SendAttemptOptions;
@@ -127,7 +124,14 @@
     if (matchesRequest && metadata.inFlight !== undefined) {
       endpointLoads.recordReportedInFlight(endpoint.key, metadata.inFlight);
     }
-    const unusable = this.#classifyUnusable(head, metadata, matchesRequest);
+    const unusable = classifyUnusable({
+      head,
+      metadata,
+      requestId: request.requestId,
+      isReusedConnection: this.#connection.isReused,
+      isResumption: this.#options.writer.isHeadSent,
+      onServerError: this.#options.onServerError,
+    });
     if (unusable !== undefined) {
       this.#settle(unusable.outcome, unusable.reason);
       this.#state = "discarding";
@@ -258,55 +262,6 @@
       !this.#isPaused && this.#body?.hasEvents !== true;
   }
 
-  /** Returns why a response must not be relayed, or undefined if it may be. */
-  #classifyUnusable(
-    head: ResponseHead,
-    metadata: ResponseMetadata,
-    matchesRequest: boolean,
-  ): { outcome: SendOutcome; reason: string } | undefined {
-    const { onServerError, writer } = this.#options;
-    const { status } = head;
-    const isForOtherRequest = metadata.requestId !== undefined &&
-      !matchesRequest;
-    // Without a request id, a response on a reused connection may belong to an
-    // earlier request.
-    if (
-      isForOtherRequest ||
-      (metadata.requestId === undefined && this.#connection.isReused)
-    ) {
-      return { outcome: "lost", reason: "response to another request" };
-    }
-    if (metadata.isMisdirected) {
-      return { outcome: "misdirected", reason: "another endpoint answered" };
-    }
-    if (metadata.isNotRun) {
-      return { outcome: "rejected", reason: `status ${status}` };
-    }
-    if (status >= 500 && onServerError()) {
-      return { outcome: "failed", reason: `status ${status}` };
-    }
-    if (NOT_RUN_STATUSES.has(status)) {
-      return {
-        outcome: "lost",
-        reason: `status ${status} without the not-run header`,
-      };
-    }
-    const isEncoded = head.headers["content-encoding"] !== undefined;
-    if (status < 400 && (!metadata.isSigned || isEncoded)) {
-      return {
-        outcome: "lost",
-        reason: "response is unsigned or has a content encoding",
-      };
-    }
-    if (writer.isHeadSent && status !== 200) {
-      return {
-        outcome: "lost",
-        reason: `status ${status} on stream resumption`,
-      };
-    }
-    return undefined;
-  }
-
   #headers(): string[] {
     const { request, format, endpoint, framer, clock } = this.#options;
     const metadata = {
