fix(relay): repeat a safe request whose response breaks off

A caller of a route whose requests may run more than once got the half response of an endpoint that broke off, or an error, though another endpoint could have answered: the head was passed on at once, and after that no request but a resumable stream is repeated.

Responses of safe routes that are no streams of events are now held back until they are complete, at most 64 KiB and 100 ms; larger and slower ones go on as they come. A response known to be broken by then is discarded and the request repeated under the same conditions as after a lost one: the route's attempts, the retry budget, the deadline. Small responses go out in one write.

--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -9,6 +9,7 @@
   ExchangeHandler,
   ResponseHead,
 } from "./endpoint_connection.ts";
+import { HeldResponse } from "./held_response.ts";
 import { filterHeaders, hopByHopHeaders } from "./hop_by_hop_headers.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import { type BodyFraming, ResponseBody } from "./response_body.ts";
@@ -83,6 +84,7 @@
   #isCleanedUp = false;
   /** Set while relaying. */
   #body: ResponseBody | undefined;
+  #held: HeldResponse | undefined;
   #relayedBytes = 0;
   #isPaused = false;
   #discardedBytes = 0;
@@ -159,17 +161,19 @@
     { status, headers, rawHeaders }: ResponseHead,
     { isEventStream }: ResponseBody,
   ): void {
-    const { writer } = this.#options;
+    const { writer, request, clock } = this.#options;
     const dropped = hopByHopHeaders(headers.connection);
     if (isEventStream && writer.supportsChunks) {
       // The stream may be found broken after its last byte, and another endpoint
       // that resumes it may send events of other lengths.
       dropped.add("content-length");
     }
-    writer.sendHead(
-      status,
-      filterHeaders(rawHeaders, (name) => !dropped.has(name)),
-    );
+    const kept = filterHeaders(rawHeaders, (name) => !dropped.has(name));
+    if (request.route.kind === "safe" && !isEventStream) {
+      this.#held = new HeldResponse({ clock, writer, status, headers: kept });
+    } else {
+      writer.sendHead(status, kept);
+    }
   }
 
   onData(chunk: Buffer, control: ExchangeControl): void {
@@ -192,7 +196,8 @@
     const { framer, writer } = this.#options;
     const bytes = framer === undefined ? chunk : framer.push(chunk);
     this.#relayedBytes += bytes.length;
-    if (bytes.length > 0 && !writer.write(bytes)) {
+    const sink = this.#held ?? writer;
+    if (bytes.length > 0 && !sink.write(bytes)) {
       control.pause();
       this.#isPaused = true;
       writer.onDrain(() => {
@@ -217,7 +222,7 @@
         this.#relayedBytes += rest.length;
         writer.write(rest);
       }
-      writer.end();
+      (this.#held ?? writer).end();
       this.#settle("delivered");
     }
     pool.release(endpoint.entry.address, this.#connection);
@@ -294,6 +299,7 @@
   }
 
   #settle(outcome: SendOutcome, reason?: string): void {
+    this.#held?.discard();
     this.#result.resolve({
       outcome,
       status: this.#head?.status,
