style(relay): satisfy the type-aware lint rules in the tests of broken responses

Two findings in the tests: an import that is only a type, and a handler that returned a promise to a caller that expects none.

--- a/packages/relay/tests/broken_off_response_test.ts
+++ b/packages/relay/tests/broken_off_response_test.ts
@@ -52,8 +52,12 @@
   end = "orderly close",
   writeBytes = body.length,
 }: EndpointResponse): RequestHandler {
-  return async ({ id }, _res, socket) => {
+  return ({ id }, _res, socket) => {
     socket.on("error", () => undefined);
+    void respond(id, socket);
+  };
+
+  async function respond(id: string, socket: net.Socket): Promise<void> {
     const fields = {
       close: "",
       length: `content-length: ${body.length}\r\n`,
@@ -79,7 +83,7 @@
       socket.write("0\r\n\r\n");
     }
     await endConnection(socket, end);
-  };
+  }
 }
 
 async function endConnection(socket: net.Socket, end: End): Promise<void> {
--- a/packages/relay/tests/raw_client.ts
+++ b/packages/relay/tests/raw_client.ts
@@ -1,4 +1,4 @@
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import * as net from "node:net";
 
 /** A response as read from the wire. */
