fix(node): reset the connection of a broken response that ends with it

The callers' interface closed the connection of a response that broke off, or that the node's end cut, in an orderly way. A caller with HTTP/1.0, whose response has no length, took what it had for the whole.

Chats need nothing: streams end with [DONE] or an error event, others are JSON.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -1,4 +1,5 @@
 /** Clocks, invariants, and helpers for asynchronous code and HTTP servers. */
+export { abortResponse } from "./abort_response.ts";
 export { AsyncQueue } from "./async_queue.ts";
 export type { Clock, Timer } from "./clock.ts";
 export { type Deferred, deferred } from "./deferred.ts";
--- a/packages/node/src/callers_app.ts
+++ b/packages/node/src/callers_app.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { pipeline } from "node:stream/promises";
 import {
   createApp,
   createRouter,
@@ -13,7 +12,12 @@
 import { RouterError, RUN_STATE_HEADER } from "@limpetshed/errors";
 import type { Logger, Metrics } from "@limpetshed/observe";
 import type { Settings } from "@limpetshed/settings";
-import { writeError, writeEvents, writeJson } from "./response_writer.ts";
+import {
+  writeBody,
+  writeError,
+  writeEvents,
+  writeJson,
+} from "./response_writer.ts";
 import { authenticateMember, authorize, type Caller } from "./authenticator.ts";
 import { parseChatRequest } from "./chat_request.ts";
 import { DEADLINE_REASON } from "./chat_service.ts";
@@ -241,13 +245,7 @@
     [RUN_STATE_HEADER]: "ran",
     ...(response.replayed ? { "x-limpetshed-replayed": "true" } : {}),
   });
-  await pipeline(response.body, res).catch((err: unknown) => {
-    res.destroy();
-    throw new RouterError("answer_incomplete", "the answer broke off", {
-      cause: err,
-      run: "ran",
-    });
-  });
+  await writeBody(res, response.body);
 }
 
 function requestTimeout(req: IncomingMessage, maxMs: number): number {
--- a/packages/node/src/http_listener.ts
+++ b/packages/node/src/http_listener.ts
@@ -1,6 +1,6 @@
 import * as http from "node:http";
 import * as https from "node:https";
-import { listenOn } from "@limpetshed/base";
+import { abortResponse, listenOn } from "@limpetshed/base";
 
 /** PEM-encoded certificate and private key. */
 export interface ServerTls {
@@ -23,6 +23,7 @@
 /** An HTTP server on one address. */
 export class HttpListener {
   readonly #server: http.Server;
+  readonly #responses = new Set<http.ServerResponse>();
 
   constructor({ handler, tls, maxHeaderBytes }: HttpListenerOptions) {
     const options = {
@@ -32,9 +33,14 @@
       requestTimeout: 0,
       noDelay: true,
     };
+    const listener: http.RequestListener = (req, res) => {
+      this.#responses.add(res);
+      res.once("close", () => this.#responses.delete(res));
+      handler(req, res);
+    };
     this.#server = tls === undefined
-      ? http.createServer(options, handler)
-      : https.createServer({ ...options, ...tls }, handler);
+      ? http.createServer(options, listener)
+      : https.createServer({ ...options, ...tls }, listener);
   }
 
   /** Starts listening on `ip:port`; returns the actual address. */
@@ -67,6 +73,7 @@
 
   /** Closes all connections immediately. */
   abort(): void {
+    this.#responses.forEach((res) => abortResponse(res));
     this.#server.closeAllConnections();
   }
 }
--- a/packages/node/src/response_writer.ts
+++ b/packages/node/src/response_writer.ts
@@ -1,6 +1,13 @@
 import type { ServerResponse } from "node:http";
-import type { RouterError } from "@limpetshed/errors";
-import { errorBody, RUN_STATE_HEADER, toRouterError } from "@limpetshed/errors";
+import type { Readable } from "node:stream";
+import { finished } from "node:stream/promises";
+import { abortResponse } from "@limpetshed/base";
+import {
+  errorBody,
+  RouterError,
+  RUN_STATE_HEADER,
+  toRouterError,
+} from "@limpetshed/errors";
 import { REQUEST_ID_HEADER } from "@limpetshed/endpoint";
 import type { Metrics } from "@limpetshed/observe";
 
@@ -29,7 +36,7 @@
   const routerErr = toRouterError(err);
   metrics.countRefusal(routerErr.kind);
   if (res.headersSent || res.destroyed) {
-    res.destroy();
+    abortResponse(res);
     return routerErr;
   }
   const { retryAfterMs } = routerErr;
@@ -89,9 +96,41 @@
   }
 }
 
+/**
+ * Sends the rest of a response whose head is sent. If the body breaks off, closes
+ * the connection such that the client can tell.
+ *
+ * @throws RouterError `answer_incomplete` if the client does not get the whole
+ *   body.
+ */
+export async function writeBody(
+  res: ServerResponse,
+  body: Readable,
+): Promise<void> {
+  try {
+    for await (const chunk of body) {
+      await writeChunk(res, chunk as Uint8Array);
+      if (res.destroyed) {
+        throw new Error("the client has closed the connection");
+      }
+    }
+    res.end();
+    await finished(res);
+  } catch (err) {
+    abortResponse(res);
+    throw new RouterError("answer_incomplete", "the answer broke off", {
+      cause: err,
+      run: "ran",
+    });
+  }
+}
+
 /** Writes a chunk; waits for `drain` so that a slow client cannot fill memory. */
-async function writeChunk(res: ServerResponse, text: string): Promise<void> {
-  if (res.destroyed || res.write(text)) {
+async function writeChunk(
+  res: ServerResponse,
+  chunk: string | Uint8Array,
+): Promise<void> {
+  if (res.destroyed || res.write(chunk)) {
     return;
   }
   await new Promise<void>((resolve) => {
--- a/packages/relay/src/response_writer.ts
+++ b/packages/relay/src/response_writer.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import { abortResponse } from "@limpetshed/base";
 import { errorBody, type RouterError } from "@limpetshed/errors";
 
 /** Options of {@linkcode ResponseWriter}. */
@@ -14,7 +15,6 @@
 export class ResponseWriter {
   readonly #res: ServerResponse;
   readonly #isStopping: () => boolean;
-  #isCloseDelimited = false;
   #unflushedWrites = 0;
   #isEnding = false;
 
@@ -44,10 +44,6 @@
     if (this.#isStopping()) {
       this.#res.shouldKeepAlive = false;
     }
-    this.#isCloseDelimited = !this.supportsChunks &&
-      !headers.some((name, index) =>
-        index % 2 === 0 && name.toLowerCase() === "content-length"
-      );
     this.#res.writeHead(status, headers);
     this.#res.flushHeaders();
   }
@@ -91,12 +87,7 @@
   /** Destroys the connection, so that a partial response cannot be taken for a
    * complete one. */
   abort(): void {
-    if (this.#isCloseDelimited && !this.#res.writableFinished) {
-      // An orderly close would be the end of the response.
-      this.#res.socket?.resetAndDestroy();
-    } else {
-      this.#res.destroy();
-    }
+    abortResponse(this.#res);
   }
 
   /** Responds with an error, or aborts if the response has already started. */
