feat(observe): log the prompt parts of lost and broken answers

`send` lines of lost and broken answers now list the first parts of the prompt, at most 8, without the last one, which is the request's own.

--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -23,6 +23,8 @@
  * the client. */
 const LOGGABLE_ID = /^[\w.:-]{1,64}$/;
 
+const MAX_LOGGED_PARTS = 8;
+
 /** Records metrics and rate-limited log lines for each step of a request. */
 export class TelemetryObserver extends RelayObserver {
   readonly #clock: Clock;
@@ -77,6 +79,9 @@
       receivedBytes: result.receivedBytes,
       relayedBytes: result.relayedBytes,
       openEventBytes: result.openEventBytes,
+      promptParts: outcome === "lost" || outcome === "broken"
+        ? loggableParts(request)
+        : undefined,
       configVersion: request.configVersion,
     }));
   }
@@ -185,6 +190,12 @@
     : "(not printable)";
 }
 
+/** Ids of the first prompt parts; the last part is the request's own. */
+function loggableParts({ prompt }: RelayRequest): string[] | undefined {
+  return prompt?.parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS)
+    .map(({ id }) => loggableId(id) ?? "");
+}
+
 function roundIfFinite(value: number): number | undefined {
   return Number.isFinite(value) ? Math.round(value) : undefined;
 }
