--- a/packages/relay/tests/test_wire_format.ts
+++ b/packages/relay/tests/test_wire_format.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
+import type { PromptInfo } from "@limpetshed/dispatch";
 import {
   type RequestMetadata,
   type ResponseMetadata,
@@ -14,7 +15,7 @@
       requestId: singleValue(headers["x-id"]),
       clientTimeoutMs: timeout === undefined ? undefined : Number(timeout),
       apiKey: singleValue(headers.authorization),
-      prompt: undefined,
+      prompt: parsePrompt(singleValue(headers["x-parts"])),
     };
   }
 
@@ -55,6 +56,16 @@
   }
 }
 
+/** Parses comma-separated ids of prompt parts. */
+function parsePrompt(ids: string | undefined): PromptInfo | undefined {
+  return ids === undefined ? undefined : {
+    model: "m",
+    promptTokens: 0,
+    maxOutputTokens: 0,
+    parts: ids.split(",").map((id) => ({ id, tokens: 0 })),
+  };
+}
+
 function singleValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
