fix(relay): probe the endpoint of a response that ended with its connection

Where a response has neither a length nor chunks and its connection is closed in an orderly way after a complete event, or after any byte of a response that is no stream, nothing on the wire tells a whole response from one that was cut as its endpoint crashed: the system closes the connections of both alike.

It now opens a connection to the endpoint before it ends such a response: if that is refused, nothing listens any more, and the response is broken; the caller sees it, a safe request or a resumable stream goes on elsewhere. An endpoint that has said that it leaves may have stopped listening before its last response, so it is not probed, and one that does not answer the probe counts as alive: sound responses are not failed. What remains open, as no sign of it exists: an endpoint that lives and cuts its response there.

--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -20,6 +20,7 @@
 import { CurrentConfig } from "@limpetshed/routing";
 import { ConnectionPool } from "./connection_pool.ts";
 import { GracefulShutdown, UNREADY_DETECTION_MS } from "./graceful_shutdown.ts";
+import { LivenessProbe } from "./liveness_probe.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import { RelayServer } from "./relay_server.ts";
@@ -69,6 +70,7 @@
   readonly crashSuspects: CrashSuspects;
   readonly #options: RelayNodeOptions;
   readonly #pool: ConnectionPool;
+  readonly #livenessProbe: LivenessProbe;
   readonly #outlierDetector: OutlierDetector;
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
@@ -93,6 +95,7 @@
         }),
     });
     this.#pool = new ConnectionPool({ clock });
+    this.#livenessProbe = new LivenessProbe({ clock });
     this.#outlierDetector = new OutlierDetector({ clock });
     this.#coldStartLimiter = new ColdStartLimiter({
       clock,
@@ -185,6 +188,7 @@
     this.#server.close();
     this.#readiness.close();
     this.#pool.close();
+    this.#livenessProbe.close();
   }
 
   #makeForwarder(): RequestForwarder {
@@ -201,6 +205,8 @@
         nodeCount: () => nodeIds().length,
       }),
       pool: this.#pool,
+      livenessProbe: this.#livenessProbe,
+      isInService: (key) => this.#isInService(key),
       format,
       observer,
       serviceLatency: this.#serviceLatency,
@@ -231,6 +237,12 @@
     });
   }
 
+  #isInService(endpointKey: string): boolean {
+    const endpoint = this.registry.getByKey(endpointKey);
+    return endpoint !== undefined && !endpoint.isLastResort &&
+      endpoint.entry.state === "ready";
+  }
+
   #removeEndpoint({ key, entry }: Endpoint): void {
     this.#outlierDetector.forget(key);
     this.#coldStartLimiter.forget(key);
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -17,6 +17,7 @@
 import { RouterError } from "@limpetshed/errors";
 import type { RouteTable } from "@limpetshed/routing";
 import type { ConnectionPool } from "./connection_pool.ts";
+import type { LivenessProbe } from "./liveness_probe.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
@@ -35,6 +36,9 @@
   serviceLatency: ServiceLatency;
   accountLoads: AccountLoads;
   pool: ConnectionPool;
+  livenessProbe: LivenessProbe;
+  /** Whether the endpoint with this key is known and not about to leave. */
+  isInService: (endpointKey: string) => boolean;
   format: WireFormat;
   observer: RelayObserver;
   /** Routes and services of the active configuration. */
@@ -127,6 +131,7 @@
       onUsableHead: (headMs) =>
         this.#options.outlierDetector.recordHeadersTime(endpoint.key, headMs),
       onServerError: () => this.#onServerError(request, endpoint),
+      isEndpointDown: () => this.#isDown(endpoint),
       onEndlessDiscard: () =>
         this.#options.outlierDetector.recordConnectionFailure(endpoint.key),
     });
@@ -199,6 +204,13 @@
     });
   }
 
+  /** Resolves to whether an endpoint that did not say that it leaves refuses
+   * connections. */
+  async #isDown({ key, entry }: Endpoint): Promise<boolean> {
+    const { livenessProbe, isInService } = this.#options;
+    return isInService(key) && await livenessProbe.isRefused(entry.address);
+  }
+
   /** Records a server error of the endpoint; returns whether the request is
    * retried elsewhere instead of relaying the error. */
   #onServerError(request: RelayRequest, { key }: Endpoint): boolean {
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -59,6 +59,9 @@
   /** Called on a server error of the endpoint; if it returns true, the request
    * is retried and the response is discarded. */
   onServerError: () => boolean;
+  /** Called when a response has ended with its connection; resolves to whether
+   * the endpoint is down though it did not say that it leaves. */
+  isEndpointDown: () => Promise<boolean>;
   /** Called if the body of a response that is not relayed does not end. */
   onEndlessDiscard: () => void;
 }
@@ -188,9 +191,7 @@
     }
     this.#body?.push(chunk);
     if ((this.#body?.openEventBytes ?? 0) > MAX_EVENT_BYTES) {
-      this.#cleanUp();
-      this.#settle("broken", `an event exceeds ${MAX_EVENT_BYTES} bytes`);
-      this.#connection.close();
+      this.#breakOff(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
       return;
     }
     const { framer, writer } = this.#options;
@@ -208,25 +209,51 @@
   }
 
   onEnd(): void {
-    this.#cleanUp();
-    const { pool, endpoint, writer, framer } = this.#options;
+    const { pool, endpoint } = this.#options;
+    if (this.#state !== "relaying") {
+      this.#cleanUp();
+      pool.release(endpoint.entry.address, this.#connection);
+    } else if (this.#body?.isTruncated === true) {
+      this.#breakOff("the stream ended inside an event");
+    } else if (this.#body?.framing === "close") {
+      void this.#completeIfAlive();
+    } else {
+      this.#complete();
+    }
+  }
+
+  /** Completes a response that ended with its connection, unless its endpoint
+   * went down with it: the system closes both kinds of connection alike. */
+  async #completeIfAlive(): Promise<void> {
+    const isDown = await this.#options.isEndpointDown();
     if (this.#state === "relaying") {
-      if (this.#body?.isTruncated === true) {
-        this.#settle("broken", "the stream ended inside an event");
-        this.#connection.close();
-        return;
-      }
-      const rest = framer?.flush();
-      if (rest !== undefined && rest.length > 0) {
-        this.#relayedBytes += rest.length;
-        writer.write(rest);
+      if (isDown) {
+        this.#breakOff("the endpoint went down at the end of its response");
+      } else {
+        this.#complete();
       }
-      (this.#held ?? writer).end();
-      this.#settle("delivered");
     }
+  }
+
+  #complete(): void {
+    this.#cleanUp();
+    const { pool, endpoint, writer, framer } = this.#options;
+    const rest = framer?.flush();
+    if (rest !== undefined && rest.length > 0) {
+      this.#relayedBytes += rest.length;
+      writer.write(rest);
+    }
+    (this.#held ?? writer).end();
+    this.#settle("delivered");
     pool.release(endpoint.entry.address, this.#connection);
   }
 
+  #breakOff(reason: string): void {
+    this.#cleanUp();
+    this.#settle("broken", reason);
+    this.#connection.close();
+  }
+
   onError(err: Error): void {
     this.#cleanUp();
     if (this.#state === "waiting") {
--- a/packages/relay/tests/broken_off_response_test.ts
+++ b/packages/relay/tests/broken_off_response_test.ts
@@ -225,6 +225,40 @@
     });
   }
 
+  for (const contentType of ["text/event-stream", "application/json"]) {
+    // Nothing in the bytes tells a whole response from one that was cut between
+    // two events because its endpoint crashed.
+    it(`does not complete a ${contentType} response without framing whose endpoint is gone`, async () => {
+      await fixture.start(({ id }, _res, socket) => {
+        socket.write(
+          `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signed: 1\r\n` +
+            `content-type: ${contentType}\r\n\r\n${event(1)}`,
+          () => fixture.endpoints[0]!.close(),
+        );
+      });
+      expect((await send("/chat/")).isComplete).to.equal(false);
+      expect(sendCounts()).to.deep.equal(["broken"]);
+    });
+
+    it(`completes a ${contentType} response without framing whose endpoint leaves`, async () => {
+      await fixture.start(({ id }, _res, socket) => {
+        const { entry } = fixture.node.registry.get("e1")!;
+        fixture.node.registry.put({ ...entry, state: "leaving" });
+        socket.write(
+          `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signed: 1\r\n` +
+            `content-type: ${contentType}\r\n\r\n${event(1)}`,
+          () => fixture.endpoints[0]!.close(),
+        );
+      });
+      const response = await send("/chat/");
+      expect(response).to.deep.equal({
+        status: 200,
+        body: event(1),
+        isComplete: true,
+      });
+    });
+  }
+
   // Callers with HTTP/1.0 take an orderly close for the end of the response.
   for (const version of ["1.0", "1.1"] as const) {
     for (const connection of CONNECTIONS) {
