fix(dispatch): count crashes of endpoints against the parts of prompts

Cause: a crash counted for the whole request alone, by its fingerprint, which is the same only for repeats. And a crash was noticed when the node that lost the response happened to be refused a connection there within 3 s, 0.7 to 2.3 s later or not at all.

Crashes now count for what requests have in common: each part of the prompt but the last, or the whole request, as before. Complete responses clear parts at all nodes, so what is left is guilty after three crashes; parts that were always beside it are excused and tried one request at a time. Crashes at the same moment are one episode, and a part that has been answered needs four while others are still answered, so that power cuts and replacements refuse no common part. A request is probed for a crash as soon as its response breaks off, before it is sent to another endpoint.

--- a/packages/dispatch/src/crash_suspects.ts
+++ b/packages/dispatch/src/crash_suspects.ts
@@ -1,146 +1,263 @@
 import type { Clock } from "@limpetshed/base";
-import { LRUCache } from "lru-cache";
-
-/** An endpoint that went down while it executed a request. */
-export interface CrashReport {
-  /** Identical for all repeats of a request. */
-  fingerprint: string;
-  /** Key of the endpoint. */
-  endpoint: string;
-}
+import { rendezvousRank } from "@limpetshed/hashing";
+import { type CrashReport, toCrash, toCrashReport } from "./crash_report.ts";
+import { isPartTrait, serviceInTraits } from "./crash_traits.ts";
+import { type LostResponse, LostResponses } from "./lost_responses.ts";
+import { ProvenTraits } from "./proven_traits.ts";
+import { type CrashSuspect, SuspectTraits } from "./suspect_traits.ts";
 
-/** A request that is refused because endpoints crashed while executing it. */
-export interface CrashSuspect {
-  fingerprint: string;
-  /** Keys of the endpoints that went down while executing it. */
-  endpoints: readonly string[];
-}
+/** Whether a request may be sent to an endpoint. */
+export type CrashVerdict =
+  | { outcome: "allowed" }
+  | {
+    outcome: "refused";
+    /** The trait that is the reason. */
+    trait: string;
+    /** Time until the request may be allowed, milliseconds. */
+    waitMs: number;
+  };
 
-/** Number of crashed endpoints at which a request is refused. One may be
- * coincidence, but each further crash fails all requests in flight there. */
-const REFUSAL_CRASH_COUNT = 2;
-/** How long crashes of a request are remembered after the latest one; well over
- * the time for which callers keep repeating it. */
-const CRASH_TTL_MS = 60_000;
-/** A lost response counts as a crash if the endpoint is found down within this
- * time; crashed endpoints stay down for seconds. */
-const CRASH_CONFIRMATION_MS = 3_000;
-/** Capacity of each map; an entry takes about 200 bytes. */
-const MAX_ENTRIES = 2_000;
-
-interface CrashRecord {
-  endpoints: Set<string>;
-  expiresAtMs: number;
+/** Options of {@linkcode CrashSuspects}. */
+export interface CrashSuspectsOptions {
+  clock: Clock;
+  nodeId?: string;
+  /** Ids of all nodes, including this one. */
+  nodeIds?: () => readonly string[];
+  /** Called when requests with a trait begin to be refused, or are again. */
+  onRefused?: (suspect: CrashSuspect) => void;
+  /** Called when a trait that was refused has proved harmless. */
+  onCleared?: (trait: string) => void;
+  /** Called when an endpoint is found to have crashed with responses of this
+   * node. */
+  onCrash?: (endpoint: string, lost: readonly LostResponse[]) => void;
 }
 
-interface LostResponse {
-  fingerprint: string;
-  atMs: number;
-}
+/** Time between the nodes' first trials of a trait after its refusal, so that the
+ * first crash is known before the next one. */
+const TRIAL_STAGGER_MS = 2_000;
+const MAX_TRIAL_STAGGERS = 5;
+/** Wait for a trial of this node to end; about the duration of a short chat. */
+const TRIAL_WAIT_MS = 500;
+/** A part crashes an endpoint that begins to answer it, so a response that has
+ * gone on for longer does not speak against its parts. */
+const MAX_START_MS = 2_000;
+/** Reports of one broadcast round. */
+const MAX_REPORTS = 128;
+/** Reports repeated for nodes that have joined or lost them. */
+const MAX_REPEATED_REPORTS = 24;
+const REPEAT_INTERVAL_MS = 1_000;
 
 /**
- * Detects requests that crash the endpoints executing them, so that repeats
- * through this or other nodes are refused. A lost response counts only if the
- * endpoint is found down soon after. A request that was merely in flight on a
- * crashing endpoint is cleared once it completes.
+ * Detects what crashes endpoints: a part of the prompts of requests, or one
+ * request that is repeated. All that ran on a crashed endpoint is suspect; a
+ * complete response clears what its request has in common with others, so that
+ * what remains is guilty. The count is that of the fleet: nodes exchange reports.
  */
 export class CrashSuspects {
+  readonly #options: CrashSuspectsOptions;
   readonly #clock: Clock;
-  readonly #onRefused: (suspect: CrashSuspect) => void;
-  readonly #crashes = new LRUCache<string, CrashRecord>({ max: MAX_ENTRIES });
-  readonly #losses = new LRUCache<string, LostResponse[]>({ max: MAX_ENTRIES });
-  #reports: CrashReport[] = [];
-
-  constructor(
-    { clock, onRefused = () => {} }: {
-      clock: Clock;
-      /** Called when a request has crashed `REFUSAL_CRASH_COUNT` endpoints and
-       * is refused from then on. */
-      onRefused?: (suspect: CrashSuspect) => void;
-    },
-  ) {
+  readonly #lostResponses: LostResponses;
+  readonly #proven: ProvenTraits;
+  readonly #suspects: SuspectTraits;
+  /** Requests in flight at endpoints, by trait. */
+  readonly #inFlight = new Map<string, number>();
+  /** Functions that make the reports to send next. */
+  #pendingReports: ((nowMs: number) => CrashReport)[] = [];
+  #lastRepeatMs = Number.NEGATIVE_INFINITY;
+
+  constructor(options: CrashSuspectsOptions) {
+    const { clock, onRefused = () => {}, onCleared = () => {} } = options;
+    this.#options = options;
     this.#clock = clock;
-    this.#onRefused = onRefused;
+    this.#lostResponses = new LostResponses({ clock });
+    this.#proven = new ProvenTraits({ clock });
+    this.#suspects = new SuspectTraits({
+      clock,
+      proven: this.#proven,
+      onRefused,
+      onCleared,
+    });
   }
 
   /** Whether any crash is recorded; if not, callers can skip computing
    * fingerprints. */
   get hasCrashes(): boolean {
-    return this.#crashes.size > 0;
+    return this.#suspects.size > 0;
   }
 
-  /** Time for which the request is still refused, milliseconds; 0 if it is
-   * not. */
-  refusalRemainingMs(fingerprint: string): number {
-    const crashes = this.#findUnexpired(fingerprint);
-    return crashes === undefined ||
-        crashes.endpoints.size < REFUSAL_CRASH_COUNT
-      ? 0
-      : crashes.expiresAtMs - this.#clock.monotonicMs();
+  /** Traits whose requests are refused. */
+  get refusedTraits(): readonly string[] {
+    return this.#suspects.atLevel("refused");
   }
 
-  /** Records that the connection to an endpoint ended before the response to
-   * the request was complete. */
-  recordLostResponse({ fingerprint, endpoint }: CrashReport): void {
-    const losses = this.#losses.get(endpoint) ?? [];
-    losses.push({ fingerprint, atMs: this.#clock.monotonicMs() });
-    this.#losses.set(endpoint, losses);
+  /** Decides whether a request with these traits may be sent. */
+  verdict(traits: readonly string[]): CrashVerdict {
+    let verdict: CrashVerdict = { outcome: "allowed" };
+    let longestMs = 0;
+    for (const trait of traits) {
+      const waitMs = this.#waitMs(trait, traits);
+      if (waitMs > longestMs) {
+        longestMs = waitMs;
+        verdict = { outcome: "refused", trait, waitMs };
+      }
+    }
+    return verdict;
   }
 
-  /** Records that an endpoint is unreachable or has restarted. */
-  recordEndpointDown(endpoint: string): void {
-    const oldestMs = this.#clock.monotonicMs() - CRASH_CONFIRMATION_MS;
-    const losses = this.#losses.get(endpoint) ?? [];
-    this.#losses.delete(endpoint);
-    for (const { fingerprint, atMs } of losses) {
-      if (atMs >= oldestMs) {
-        const report = { fingerprint, endpoint };
-        this.#recordCrash(report);
-        this.#reports.push(report);
+  /** Records that a request is sent to an endpoint; returns the traits that it is
+   * to try, since they are suspect. */
+  begin(traits: readonly string[]): string[] {
+    for (const trait of traits) {
+      this.#inFlight.set(trait, (this.#inFlight.get(trait) ?? 0) + 1);
+    }
+    return traits.filter((trait) => this.#suspects.level(trait) === "refused");
+  }
+
+  /** Records the end of an attempt that `begin` was called for. */
+  end(traits: readonly string[]): void {
+    for (const trait of traits) {
+      const count = (this.#inFlight.get(trait) ?? 0) - 1;
+      if (count > 0) {
+        this.#inFlight.set(trait, count);
+      } else {
+        this.#inFlight.delete(trait);
       }
     }
   }
 
-  /** Records that a request completed. Clears its crashes, since it does not
-   * crash endpoints. */
-  recordCompleted(fingerprint: string): void {
-    this.#crashes.delete(fingerprint);
+  /** Records that the connection to an endpoint ended before the response was
+   * complete. */
+  recordLostResponse(
+    { traits, trials = [], endpoint, sentMs, answeringMs = 0 }: {
+      traits: readonly string[];
+      /** What `begin` returned. */
+      trials?: readonly string[];
+      /** Key of the endpoint. */
+      endpoint: string;
+      /** Monotonic time at which the request was sent. */
+      sentMs: number;
+      /** Time since the start of the response. */
+      answeringMs?: number;
+    },
+  ): void {
+    const lost = this.#lostResponses.add({
+      endpoint,
+      traits: answeringMs <= MAX_START_MS
+        ? traits
+        : traits.filter((trait) => !isPartTrait(trait)),
+      trials,
+      sentMs,
+      lostMs: this.#clock.monotonicMs(),
+    });
+    this.#addCrashes(endpoint, lost);
+  }
+
+  /** Records that an endpoint refuses connections or has restarted. */
+  recordEndpointDown(endpoint: string): void {
+    this.#addCrashes(endpoint, this.#lostResponses.endpointDown(endpoint));
+  }
+
+  /** Records that a request was answered in full, which clears its traits. */
+  recordCompleted(service: string, traits: readonly string[]): void {
+    this.#proven.add(serviceInTraits(service), traits.filter(isPartTrait));
+    for (const trait of traits) {
+      const endpoints = this.#suspects.crashes(trait).map((crash) =>
+        crash.endpoint
+      );
+      for (const endpoint of endpoints) {
+        this.#suspects.clear(trait, endpoint);
+        // A single crash has no effect, so other nodes need not know.
+        if (endpoints.length > 1) {
+          this.#report(() => ({ kind: "cleared", trait, endpoint }));
+        }
+      }
+    }
   }
 
-  /** Merges the crashes that other nodes report. */
+  /** Merges the reports of other nodes. */
   applyPeerReports(reports: readonly CrashReport[]): void {
-    reports.forEach((report) => this.#recordCrash(report));
+    const now = this.#clock.monotonicMs();
+    for (const report of reports) {
+      const { trait, endpoint } = report;
+      if (report.kind === "cleared") {
+        this.#suspects.clear(trait, endpoint);
+      } else if (this.#suspects.isCleared(trait, endpoint)) {
+        this.#report(() => ({ kind: "cleared", trait, endpoint }));
+      } else {
+        this.#suspects.add(trait, toCrash(report, now));
+      }
+    }
+  }
+
+  /** Takes what this node has found out since the last call. The function that
+   * it returns makes the reports, with ages as of its call. */
+  takeReports(): () => CrashReport[] {
+    this.#suspects.expire();
+    const pending = this.#pendingReports;
+    this.#pendingReports = [];
+    return () => {
+      const now = this.#clock.monotonicMs();
+      return pending.map((makeReport) => makeReport(now));
+    };
   }
 
-  /** Returns the crashes that this node detected since the last call. */
-  takeReports(): CrashReport[] {
-    const reports = this.#reports;
-    this.#reports = [];
-    return reports;
+  /** Returns the crashes of suspect traits once a second, for nodes that have
+   * joined or lost reports. */
+  repeatedReports(): CrashReport[] {
+    const now = this.#clock.monotonicMs();
+    if (now - this.#lastRepeatMs < REPEAT_INTERVAL_MS) {
+      return [];
+    }
+    this.#lastRepeatMs = now;
+    return this.#suspects.atLevel("refused", "trial").flatMap((trait) =>
+      this.#suspects.crashes(trait).map((crash) =>
+        toCrashReport(trait, crash, now)
+      )
+    ).slice(0, MAX_REPEATED_REPORTS);
   }
 
-  #recordCrash({ fingerprint, endpoint }: CrashReport): void {
-    const crashes = this.#findUnexpired(fingerprint) ??
-      { endpoints: new Set(), expiresAtMs: 0 };
-    if (crashes.endpoints.has(endpoint)) {
+  #addCrashes(endpoint: string, lost: readonly LostResponse[]): void {
+    if (lost.length === 0) {
       return;
     }
-    crashes.endpoints.add(endpoint);
-    crashes.expiresAtMs = this.#clock.monotonicMs() + CRASH_TTL_MS;
-    this.#crashes.set(fingerprint, crashes);
-    if (crashes.endpoints.size === REFUSAL_CRASH_COUNT) {
-      this.#onRefused({ fingerprint, endpoints: [...crashes.endpoints] });
+    this.#options.onCrash?.(endpoint, lost);
+    for (const { traits, trials, sentMs, lostMs } of lost) {
+      for (const trait of traits) {
+        const isTrial = trials.includes(trait);
+        const crash = { endpoint, sentMs, crashedMs: lostMs, isTrial };
+        if (this.#suspects.add(trait, crash)) {
+          this.#report((now) => toCrashReport(trait, crash, now));
+        }
+      }
+    }
+  }
+
+  #report(makeReport: (nowMs: number) => CrashReport): void {
+    if (this.#pendingReports.length < MAX_REPORTS) {
+      this.#pendingReports.push(makeReport);
     }
   }
 
-  #findUnexpired(fingerprint: string): CrashRecord | undefined {
-    const crashes = this.#crashes.get(fingerprint);
-    if (
-      crashes !== undefined && crashes.expiresAtMs <= this.#clock.monotonicMs()
-    ) {
-      this.#crashes.delete(fingerprint);
-      return undefined;
+  /** Time for which a request with `traits` is refused because of one of them;
+   * 0 if it is not. */
+  #waitMs(trait: string, traits: readonly string[]): number {
+    const level = this.#suspects.level(trait);
+    if (level === "none") {
+      return 0;
     }
-    return crashes;
+    if (level === "refused" && !this.#suspects.isExplained(trait, traits)) {
+      const remainingMs = this.#suspects.refusalRemainingMs(trait) +
+        this.#trialStaggerMs(trait);
+      if (remainingMs > 0) {
+        return remainingMs;
+      }
+    }
+    return this.#inFlight.has(trait) ? TRIAL_WAIT_MS : 0;
+  }
+
+  #trialStaggerMs(trait: string): number {
+    const { nodeId = "", nodeIds = () => [] } = this.#options;
+    const rank = rendezvousRank(trait, nodeIds()).indexOf(nodeId);
+    return TRIAL_STAGGER_MS * Math.min(MAX_TRIAL_STAGGERS, Math.max(0, rank));
   }
 }
--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -26,6 +26,15 @@
   | "crash_suspect"
   | OverloadRefusal;
 
+/** Why there is no endpoint for a request. */
+export interface NoChoice {
+  refusal: NoChoiceReason;
+  /** Expected time until the request may succeed, milliseconds, if known. */
+  waitMs?: number;
+  /** What the request has in common with others that crashed endpoints. */
+  trait?: string;
+}
+
 /** The chosen endpoint, or why there is none. */
 export type Choice =
   | {
@@ -35,11 +44,7 @@
     /** Number of endpoints that the policy chose from. */
     candidates: number;
   }
-  | {
-    refusal: NoChoiceReason;
-    /** Expected time until the request may succeed, milliseconds, if known. */
-    waitMs?: number;
-  };
+  | NoChoice;
 
 /** A request for which an endpoint is to be chosen. */
 export interface ChoiceRequest {
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -15,16 +15,17 @@
   ColdStartLimiter,
   type ColdStartLimits,
 } from "./cold_start_limiter.ts";
-export {
-  type CrashReport,
-  type CrashSuspect,
-  CrashSuspects,
-} from "./crash_suspects.ts";
+export type { CrashReport } from "./crash_report.ts";
+export { CrashSuspects, type CrashVerdict } from "./crash_suspects.ts";
+export { promptTraits } from "./crash_traits.ts";
+export type { LostResponse } from "./lost_responses.ts";
+export type { CrashSuspect } from "./suspect_traits.ts";
 export {
   type Choice,
   type ChoiceRequest,
   EndpointChooser,
   type EndpointChooserOptions,
+  type NoChoice,
   type NoChoiceReason,
 } from "./endpoint_chooser.ts";
 export { DeferredRemovals } from "./deferred_removals.ts";
--- /dev/null
+++ b/packages/dispatch/src/lost_responses.ts
@@ -0,0 +1,65 @@
+import type { Clock } from "@limpetshed/base";
+import { LRUCache } from "lru-cache";
+
+/** A response that ended before it was complete. */
+export interface LostResponse {
+  /** Key of the endpoint. */
+  endpoint: string;
+  /** Traits of the request. */
+  traits: readonly string[];
+  /** Those of them that the request was sent to try. */
+  trials: readonly string[];
+  /** Monotonic time at which the request was sent. */
+  sentMs: number;
+  /** Monotonic time at which the response was lost. */
+  lostMs: number;
+}
+
+/** A lost response counts as a crash if the endpoint is found down within this
+ * time; crashed endpoints stay down for seconds. */
+const CONFIRMATION_MS = 3_000;
+const MAX_ENDPOINTS = 2_000;
+/** Responses of one endpoint that are considered; the latest ones. */
+const MAX_RESPONSES = 64;
+
+/**
+ * Tells responses that were lost with their endpoint from those of endpoints that
+ * live: a lost response and an endpoint found down count together only if they
+ * are close in time, in either order.
+ */
+export class LostResponses {
+  readonly #clock: Clock;
+  readonly #byEndpoint = new LRUCache<string, LostResponse[]>({
+    max: MAX_ENDPOINTS,
+  });
+  readonly #downSinceMs = new LRUCache<string, number>({ max: MAX_ENDPOINTS });
+
+  constructor({ clock }: { clock: Clock }) {
+    this.#clock = clock;
+  }
+
+  /** Records a lost response; returns it if its endpoint is known to be down. */
+  add(response: LostResponse): LostResponse[] {
+    const { endpoint, lostMs } = response;
+    const downSinceMs = this.#downSinceMs.get(endpoint);
+    if (
+      downSinceMs !== undefined && lostMs - downSinceMs <= CONFIRMATION_MS
+    ) {
+      return [response];
+    }
+    const responses = this.#byEndpoint.get(endpoint) ?? [];
+    responses.push(response);
+    this.#byEndpoint.set(endpoint, responses.slice(-MAX_RESPONSES));
+    return [];
+  }
+
+  /** Records that an endpoint is down or has restarted; returns the responses
+   * that were lost with it. */
+  endpointDown(endpoint: string): LostResponse[] {
+    const now = this.#clock.monotonicMs();
+    this.#downSinceMs.set(endpoint, now);
+    const responses = this.#byEndpoint.get(endpoint) ?? [];
+    this.#byEndpoint.delete(endpoint);
+    return responses.filter(({ lostMs }) => now - lostMs <= CONFIRMATION_MS);
+  }
+}
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -33,9 +33,11 @@
   /** Returns the prompt parts that this node sent to endpoints since the last
    * call, as a flat list of alternating part ids and endpoint keys. */
   takePlacements: () => string[];
-  /** Returns the crash reports of this node since the last call, as a flat list
-   * of alternating request fingerprints and keys of the crashed endpoints. */
-  takeCrashReports: () => string[];
+  /** Takes the crash reports of this node since the last call. The function that
+   * it returns encodes them as of its call, as a flat list of pairs. */
+  takeCrashReports: () => () => string[];
+  /** Returns crash reports to repeat in this round, encoded alike. */
+  repeatedCrashReports: () => string[];
   /** Called with another node's in-flight requests, by endpoint key. */
   onPeerInFlight: (
     nodeId: string,
@@ -51,7 +53,7 @@
 /** Placements and crash reports collected for one broadcast round. */
 interface RoundEvents {
   placements: string[];
-  crashReports: string[];
+  encodeCrashReports: () => string[];
 }
 
 /** The latest broadcast round received from one node, which may have arrived in
@@ -108,12 +110,13 @@
   #broadcast(): void {
     const { nodeId, incarnation, localInFlight, asOf, directory } =
       this.#options;
-    const { takePlacements, takeCrashReports } = this.#options;
+    const { takePlacements, takeCrashReports, repeatedCrashReports } =
+      this.#options;
     this.#round += 1;
     const rounds = roundsToReachAll(directory.peers().length);
     const events = {
       placements: takePlacements(),
-      crashReports: takeCrashReports(),
+      encodeCrashReports: takeCrashReports(),
     };
     this.#recentEvents = [events, ...this.#recentEvents].slice(0, rounds);
     const datagrams = encodeLoadMessage({
@@ -124,9 +127,12 @@
       storeConnectivity: this.#options.storeConnectivity(),
       inFlightByEndpoint: localInFlight(),
       placements: this.#recentEvents.flatMap(({ placements }) => placements),
-      crashReports: this.#recentEvents.flatMap(({ crashReports }) =>
-        crashReports
-      ),
+      crashReports: [
+        ...this.#recentEvents.flatMap(({ encodeCrashReports }) =>
+          encodeCrashReports()
+        ),
+        ...repeatedCrashReports(),
+      ],
     });
     for (const { datagramAddress: address } of this.#nextTargets()) {
       const { host, port } = splitHostPort(address);
--- a/packages/fleet/src/load_message.ts
+++ b/packages/fleet/src/load_message.ts
@@ -16,8 +16,8 @@
   /** Alternating ids of prompt parts that the node sent recently and keys of
    * the endpoints that it sent them to. */
   placements: readonly string[];
-  /** Alternating fingerprints of requests during which an endpoint recently
-   * crashed and keys of those endpoints. */
+  /** Alternating traits of requests during which an endpoint recently crashed
+   * and descriptions of those crashes. */
   crashReports: readonly string[];
 }
 
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -289,7 +289,12 @@
       asOf: () => this.#mirror.asOf,
       storeConnectivity: () => this.#sourceSelector.storeConnectivity,
       takePlacements: () => encodeCachedParts(prefixCacheIndex.takeUpdates()),
-      takeCrashReports: () => encodeCrashReports(crashSuspects.takeReports()),
+      takeCrashReports: () => {
+        const makeReports = crashSuspects.takeReports();
+        return () => encodeCrashReports(makeReports());
+      },
+      repeatedCrashReports: () =>
+        encodeCrashReports(crashSuspects.repeatedReports()),
       onPeerInFlight: (nodeId, counts) =>
         endpointLoads.setPeerCounts(nodeId, counts),
       onPlacements: (placements) =>
@@ -309,6 +314,8 @@
       metrics.gauge("limpetshed_state_age_seconds", this.#stateAgeMs / 1_000);
     }
     metrics.gauge("limpetshed_nodes", this.#directory.nodeIds().length);
+    const { refusedTraits } = this.#node.crashSuspects;
+    metrics.gauge("limpetshed_refused_traits", refusedTraits.length);
     for (const [source, follower] of Object.entries(this.#followers)) {
       const value = follower.isReachable ? 1 : 0;
       metrics.gauge("limpetshed_source_reachable", value, { source });
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -91,6 +91,11 @@
     [],
     "Log lines dropped since process start: buffer full or write error.",
   ),
+  limpetshed_refused_traits: row(
+    "gauge",
+    [],
+    "Prompt parts and requests refused because endpoints crashed while running them.",
+  ),
   limpetshed_nodes: row("gauge", [], "Known nodes, including this one."),
 } as const satisfies Record<string, RelayMetricRow>;
 
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -19,6 +19,7 @@
 import type { Logger } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
 import { ConnectionPool } from "./connection_pool.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import { GracefulShutdown, UNREADY_DETECTION_MS } from "./graceful_shutdown.ts";
 import { LivenessProbe } from "./liveness_probe.ts";
 import { ReadinessServer } from "./readiness_server.ts";
@@ -85,15 +86,7 @@
     this.#shutdown = new GracefulShutdown({ clock });
     this.endpointLoads = new LoadTracker({ clock });
     this.prefixCacheIndex = new PrefixCacheIndex({ clock });
-    this.crashSuspects = new CrashSuspects({
-      clock,
-      onRefused: (suspect) =>
-        options.logger.warn({
-          event: "crash_suspect",
-          outcome: "refused",
-          ...suspect,
-        }),
-    });
+    this.crashSuspects = this.#makeCrashSuspects();
     this.#pool = new ConnectionPool({ clock });
     this.#livenessProbe = new LivenessProbe({ clock });
     this.#outlierDetector = new OutlierDetector({ clock });
@@ -144,13 +137,14 @@
   }
 
   /** Starts listening for clients (`front`) and for readiness checks (`ready`),
-   * both `ip:port`. */
+   * both `ip:port`; returns the actual address for clients. */
   async listen({ front, ready }: {
     front: string;
     ready: string;
-  }): Promise<void> {
-    await this.#server.listen(front);
+  }): Promise<string> {
+    const address = await this.#server.listen(front);
     await this.#readiness.listen(ready);
+    return address;
   }
 
   /**
@@ -191,6 +185,25 @@
     this.#livenessProbe.close();
   }
 
+  #makeCrashSuspects(): CrashSuspects {
+    const { clock, logger, nodeId, nodeIds } = this.#options;
+    const event = "crash_suspect";
+    return new CrashSuspects({
+      clock,
+      nodeId,
+      nodeIds,
+      onRefused: (suspect) =>
+        logger.warn({ event, outcome: "refused", ...suspect }),
+      onCleared: (trait) => logger.warn({ event, outcome: "cleared", trait }),
+      onCrash: (endpoint, lost) =>
+        logger.warn({
+          event: "endpoint_crash",
+          endpoint,
+          lostResponses: lost.length,
+        }),
+    });
+  }
+
   #makeForwarder(): RequestForwarder {
     const { clock, format, observer, nodeIds, retryLimits } = this.#options;
     return new RequestForwarder({
@@ -198,15 +211,17 @@
       chooser: this.#makeChooser(),
       endpointLoads: this.endpointLoads,
       outlierDetector: this.#outlierDetector,
-      crashSuspects: this.crashSuspects,
+      crashGuard: new CrashGuard({
+        suspects: this.crashSuspects,
+        probe: this.#livenessProbe,
+        isInService: (key) => this.#isInService(key),
+      }),
       retryBudget: new RetryBudget({
         clock,
         limits: retryLimits,
         nodeCount: () => nodeIds().length,
       }),
       pool: this.#pool,
-      livenessProbe: this.#livenessProbe,
-      isInService: (key) => this.#isInService(key),
       format,
       observer,
       serviceLatency: this.#serviceLatency,
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -1,8 +1,4 @@
-import type {
-  Endpoint,
-  NoChoiceReason,
-  SendOutcome,
-} from "@limpetshed/dispatch";
+import type { Endpoint, NoChoice, SendOutcome } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
 import type { RelayRequest } from "./relay_request.ts";
 import type { SendResult } from "./send_attempt.ts";
@@ -28,12 +24,8 @@
   /** A request is retried after an attempt that ended with `outcome`. */
   abstract retried(request: RelayRequest, outcome: SendOutcome): void;
 
-  /** No endpoint could be chosen; `waitMs` is the expected time until one can. */
-  abstract noEndpointChosen(
-    request: RelayRequest,
-    reason: NoChoiceReason,
-    waitMs: number | undefined,
-  ): void;
+  /** No endpoint could be chosen. */
+  abstract noEndpointChosen(request: RelayRequest, reason: NoChoice): void;
 
   /** A response has been relayed completely. */
   abstract responseCompleted(request: RelayRequest, durationMs: number): void;
--- a/packages/relay/src/relay_request.ts
+++ b/packages/relay/src/relay_request.ts
@@ -32,6 +32,8 @@
   /** Priority class; 0 is the highest. */
   priority: number;
   prompt: PromptInfo | undefined;
+  /** What the prompt has in common with others and may crash endpoints. */
+  promptTraits: readonly string[];
   /** Hash that is identical for all retries of the request, also on other
    * nodes; computed on first use. */
   fingerprint: () => string;
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -1,5 +1,6 @@
 import * as http from "node:http";
 import { type Clock, listenOn } from "@limpetshed/base";
+import { promptTraits } from "@limpetshed/dispatch";
 import { RouterError, toRouterError } from "@limpetshed/errors";
 import {
   type ClientAccount,
@@ -188,6 +189,7 @@
       throw stoppingError();
     }
     const body = await readBody(req, { maxBytes: table.limits.maxBodyBytes });
+    const service = pickTarget(route.targets, random()) ?? "";
     return {
       requestId: metadata.requestId ?? "",
       method: req.method ?? "GET",
@@ -196,11 +198,12 @@
       connectionHeader: req.headers.connection,
       body,
       route,
-      service: pickTarget(route.targets, random()) ?? "",
+      service,
       configVersion: table.version,
       account: account?.name,
       priority: account?.priority ?? route.priority,
       prompt: metadata.prompt,
+      promptTraits: promptTraits(service, metadata.prompt),
       fingerprint: lazyFingerprint({
         account: account?.name,
         path: req.url ?? "/",
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -2,12 +2,12 @@
 import {
   type AccountLoads,
   type Choice,
-  type CrashSuspects,
   type Endpoint,
   type EndpointChooser,
   isRetryable,
   type LoadTracker,
   mayRetry,
+  type NoChoice,
   type NoChoiceReason,
   type OutlierDetector,
   type RetryBudget,
@@ -17,7 +17,7 @@
 import { RouterError } from "@limpetshed/errors";
 import type { RouteTable } from "@limpetshed/routing";
 import type { ConnectionPool } from "./connection_pool.ts";
-import type { LivenessProbe } from "./liveness_probe.ts";
+import type { CrashGuard } from "./crash_guard.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
@@ -32,13 +32,10 @@
   endpointLoads: LoadTracker;
   outlierDetector: OutlierDetector;
   retryBudget: RetryBudget;
-  crashSuspects: CrashSuspects;
+  crashGuard: CrashGuard;
   serviceLatency: ServiceLatency;
   accountLoads: AccountLoads;
   pool: ConnectionPool;
-  livenessProbe: LivenessProbe;
-  /** Whether the endpoint with this key is known and not about to leave. */
-  isInService: (endpointKey: string) => boolean;
   format: WireFormat;
   observer: RelayObserver;
   /** Routes and services of the active configuration. */
@@ -67,7 +64,10 @@
     const framer = request.route.resumable ? new SseFramer() : undefined;
     retryBudget.recordRequest(request.service);
     for (;;) {
-      const result = await this.#send(request, { writer, framer });
+      const { result, crashCheck } = await this.#send(request, {
+        writer,
+        framer,
+      });
       if (result.outcome === "delivered") {
         return;
       }
@@ -77,6 +77,11 @@
       if (!this.#shouldRetry(request, { result, writer })) {
         throw attemptError(request, result);
       }
+      // A retry must not take to the next endpoint what crashed this one.
+      await crashCheck;
+      if (request.signal.aborted) {
+        throw abortError(request);
+      }
       framer?.discardPartial();
       this.#options.observer.retried(request, result.outcome);
     }
@@ -111,8 +116,12 @@
       writer: ResponseWriter;
       framer: SseFramer | undefined;
     },
-  ): Promise<SendResult> {
-    const { endpointLoads, pool, format, clock } = this.#options;
+  ): Promise<{
+    result: SendResult;
+    /** Resolves when it is known whether the endpoint crashed. */
+    crashCheck: Promise<void>;
+  }> {
+    const { endpointLoads, pool, format, clock, crashGuard } = this.#options;
     const { endpoint, copyFrom, candidates } = this.#chooseEndpointOrThrow(
       request,
     );
@@ -131,11 +140,15 @@
       onUsableHead: (headMs) =>
         this.#options.outlierDetector.recordHeadersTime(endpoint.key, headMs),
       onServerError: () => this.#onServerError(request, endpoint),
-      isEndpointDown: () => this.#isDown(endpoint),
+      isEndpointDown: () => crashGuard.isDown(endpoint),
       onEndlessDiscard: () =>
         this.#options.outlierDetector.recordConnectionFailure(endpoint.key),
     });
-    const result = await this.#trackAttempt(request, attempt);
+    const result = await crashGuard.track(
+      request,
+      endpoint,
+      this.#trackAttempt(request, attempt),
+    );
     this.#recordResult(request, endpoint, result);
     this.#options.observer.attemptEnded({
       request,
@@ -145,7 +158,7 @@
       load,
       candidates,
     });
-    return result;
+    return { result, crashCheck: crashGuard.confirmCrash(endpoint, result) };
   }
 
   /** Counts the attempt as in flight for its service and client account until
@@ -168,23 +181,22 @@
   /** Chooses an endpoint; reports a refusal to the observer and throws it. */
   #chooseEndpointOrThrow(
     request: RelayRequest,
-  ): Exclude<Choice, { refusal: NoChoiceReason }> {
+  ): Exclude<Choice, NoChoice> {
     const choice = this.#chooseEndpoint(request);
     if ("refusal" in choice) {
       const { refusal, waitMs } = choice;
-      this.#options.observer.noEndpointChosen(request, refusal, waitMs);
+      this.#options.observer.noEndpointChosen(request, choice);
       throw noEndpointError(request, refusal, waitMs);
     }
     return choice;
   }
 
   #chooseEndpoint(request: RelayRequest): Choice {
-    const { chooser, crashSuspects, clock } = this.#options;
-    const refusalRemainingMs = crashSuspects.hasCrashes
-      ? crashSuspects.refusalRemainingMs(request.fingerprint())
-      : 0;
-    if (refusalRemainingMs > 0) {
-      return { refusal: "crash_suspect", waitMs: refusalRemainingMs };
+    const { chooser, crashGuard, clock } = this.#options;
+    const verdict = crashGuard.verdict(request);
+    if (verdict.outcome === "refused") {
+      const { trait, waitMs } = verdict;
+      return { refusal: "crash_suspect", waitMs, trait };
     }
     const table = this.#options.routeTable();
     const spec = table?.service(request.service);
@@ -204,13 +216,6 @@
     });
   }
 
-  /** Resolves to whether an endpoint that did not say that it leaves refuses
-   * connections. */
-  async #isDown({ key, entry }: Endpoint): Promise<boolean> {
-    const { livenessProbe, isInService } = this.#options;
-    return isInService(key) && await livenessProbe.isRefused(entry.address);
-  }
-
   /** Records a server error of the endpoint; returns whether the request is
    * retried elsewhere instead of relaying the error. */
   #onServerError(request: RelayRequest, { key }: Endpoint): boolean {
@@ -239,7 +244,7 @@
       }
       return;
     }
-    this.#recordHealth(request, endpoint, outcome);
+    this.#recordHealth(endpoint, outcome);
   }
 
   #updateProgress(
@@ -260,31 +265,17 @@
     request.mayHaveRun ||= mayHaveRun(outcome);
   }
 
-  /** Updates endpoint health and crash suspicion from an attempt's outcome. */
-  #recordHealth(
-    request: RelayRequest,
-    { key }: Endpoint,
-    outcome: SendOutcome,
-  ): void {
-    const { outlierDetector, crashSuspects } = this.#options;
+  /** Updates endpoint health from an attempt's outcome. */
+  #recordHealth({ key }: Endpoint, outcome: SendOutcome): void {
+    const { outlierDetector } = this.#options;
     switch (outcome) {
       case "delivered":
         outlierDetector.recordDelivered(key);
-        if (crashSuspects.hasCrashes) {
-          crashSuspects.recordCompleted(request.fingerprint());
-        }
         return;
       case "not_sent":
-        outlierDetector.recordConnectionFailure(key);
-        crashSuspects.recordEndpointDown(key);
-        return;
       case "lost":
       case "broken":
         outlierDetector.recordConnectionFailure(key);
-        crashSuspects.recordLostResponse({
-          fingerprint: request.fingerprint(),
-          endpoint: key,
-        });
         return;
       case "rejected":
       case "misdirected":
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -29,6 +29,12 @@
   /** Whether the deadline passed while the endpoint sent a body that has no end:
    * it is not a stream of events, and the client read it as it came. */
   overran?: boolean;
+  /** How the endpoint ended the connection, unless the relay did. */
+  connectionEnd?: "closed" | "refused";
+  /** Monotonic time at which sending began, if it did. */
+  sentMs?: number;
+  /** Milliseconds from the response head to the end of the attempt. */
+  answeringMs?: number;
   framing?: BodyFraming;
   /** Body bytes received from the endpoint. */
   receivedBytes?: number;
@@ -73,6 +79,7 @@
  * connection usable again: closing it is cheaper beyond them. */
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MS = 1_000;
+const REFUSED_CODE = "ECONNREFUSED";
 
 /** Sends a request to one endpoint and relays the response to the client. */
 export class SendAttempt implements ExchangeHandler {
@@ -84,6 +91,7 @@
   #sendStartMs = 0;
   #head: ResponseHead | undefined;
   #headMs: number | undefined;
+  #connectionEnd: "closed" | "refused" | undefined;
   #isCleanedUp = false;
   /** Set while relaying. */
   #body: ResponseBody | undefined;
@@ -214,7 +222,7 @@
       this.#cleanUp();
       pool.release(endpoint.entry.address, this.#connection);
     } else if (this.#body?.isTruncated === true) {
-      this.#breakOff("the stream ended inside an event");
+      this.#breakOff("the stream ended inside an event", "closed");
     } else if (this.#body?.framing === "close") {
       void this.#completeIfAlive();
     } else {
@@ -228,7 +236,10 @@
     const isDown = await this.#options.isEndpointDown();
     if (this.#state === "relaying") {
       if (isDown) {
-        this.#breakOff("the endpoint went down at the end of its response");
+        this.#breakOff(
+          "the endpoint went down at the end of its response",
+          "closed",
+        );
       } else {
         this.#complete();
       }
@@ -248,14 +259,16 @@
     pool.release(endpoint.entry.address, this.#connection);
   }
 
-  #breakOff(reason: string): void {
+  #breakOff(reason: string, connectionEnd?: "closed"): void {
     this.#cleanUp();
+    this.#connectionEnd = connectionEnd;
     this.#settle("broken", reason);
     this.#connection.close();
   }
 
-  onError(err: Error): void {
+  onError(err: NodeJS.ErrnoException): void {
     this.#cleanUp();
+    this.#connectionEnd = err.code === REFUSED_CODE ? "refused" : "closed";
     if (this.#state === "waiting") {
       this.#settle(this.#hasStartedSending ? "lost" : "not_sent", err.message);
     } else if (this.#state === "relaying") {
@@ -332,6 +345,11 @@
       reason,
       headMs: this.#headMs,
       overran: this.#hasOverrun(),
+      connectionEnd: this.#connectionEnd,
+      sentMs: this.#hasStartedSending ? this.#sendStartMs : undefined,
+      answeringMs: this.#headMs === undefined
+        ? undefined
+        : this.#options.clock.monotonicMs() - this.#sendStartMs - this.#headMs,
       framing: this.#body?.framing,
       receivedBytes: this.#body?.receivedBytes,
       relayedBytes: this.#body === undefined ? undefined : this.#relayedBytes,
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@limpetshed/base";
-import type { NoChoiceReason, SendOutcome } from "@limpetshed/dispatch";
+import type { NoChoice, SendOutcome } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
 import {
   type Logger,
@@ -101,14 +101,14 @@
 
   noEndpointChosen(
     request: RelayRequest,
-    reason: NoChoiceReason,
-    waitMs: number | undefined,
+    { refusal, waitMs, trait }: NoChoice,
   ): void {
-    this.#metrics.count("limpetshed_not_placed_total", { reason });
+    this.#metrics.count("limpetshed_not_placed_total", { reason: refusal });
     this.#log("not_placed", () => ({
       requestId: loggableId(request.requestId),
       event: "not_placed",
-      outcome: reason,
+      outcome: refusal,
+      trait,
       service: request.service,
       tried: request.tried.size,
       priority: request.priority,
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -143,10 +143,9 @@
       });
     }
     this.configure();
-    this.#address = await freeAddress();
-    await this.node.listen({
-      front: this.#address,
-      ready: await freeAddress(),
+    this.#address = await this.node.listen({
+      front: "127.0.0.1:0",
+      ready: "127.0.0.1:0",
     });
   }
 
@@ -275,10 +274,3 @@
       }));
   });
 }
-
-async function freeAddress(): Promise<string> {
-  const server = net.createServer();
-  const address = await listenOn(server, "127.0.0.1:0");
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return address;
-}
