fix(base): do not reset a connection whose shutdown is in progress

Node.js leaves the handle of such a connection open for good, and the process then does not end, as the soak's tools had shown before. The function that aborts the responses of callers with HTTP/1.0 reset connections without that check, at the end of a node among other times. The soak's function and its test move to base, and both use it.

--- a/packages/base/src/abort_response.ts
+++ b/packages/base/src/abort_response.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { resetConnection } from "./reset_connection.ts";
 
 /**
  * Closes the connection of an incomplete response such that its client can tell.
@@ -9,7 +10,7 @@
   const endsWithConnection = res.headersSent &&
     res.req.httpVersion === "1.0" && !res.writableFinished;
   if (endsWithConnection && res.socket !== null) {
-    res.socket.resetAndDestroy();
+    resetConnection(res.socket);
   } else {
     res.destroy();
   }
--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -18,6 +18,7 @@
 export { PausableClock } from "./pausable_clock.ts";
 export { readStream } from "./read_stream.ts";
 export { repeat, type RepeatingTask, type RepeatOptions } from "./repeat.ts";
+export { resetConnection } from "./reset_connection.ts";
 export { ResetDetector } from "./reset_detector.ts";
 export { sleep } from "./sleep.ts";
 export { SystemClock } from "./system_clock.ts";
--- a/platform/tests/reset_connection_test.ts
+++ b/packages/base/tests/reset_connection_test.ts
@@ -1,10 +1,10 @@
 import { once } from "node:events";
 import * as net from "node:net";
 import process from "node:process";
-import { listenOn, splitHostPort } from "@limpetshed/base";
 import { expect } from "chai";
 import { describe, it } from "mocha";
-import { resetConnection } from "../soak/reset_connection.ts";
+import { listenOn, splitHostPort } from "../src/listen_on.ts";
+import { resetConnection } from "../src/reset_connection.ts";
 
 describe("resetConnection", () => {
   // A test process did not exit after its last test: a reset during a shutdown
