fix(dispatch): clear single crashes of a part at all nodes

A node that answers a request with a part after one crash cleared it only for itself. Nodes that answer none with that part kept it for a minute, added up such crashes, and after three refused a part that others had answered in between.

Each clearing is reported now: a trait at the first complete response after a crash, so about one report for each trait that ran there and, for common parts, one for each node. The new test, ten crashes with an answer at another node after each, failed before at the third.

--- a/packages/dispatch/src/crash_suspects.ts
+++ b/packages/dispatch/src/crash_suspects.ts
@@ -166,10 +166,7 @@
       );
       for (const endpoint of endpoints) {
         this.#suspects.clear(trait, endpoint);
-        // A single crash has no effect, so other nodes need not know.
-        if (endpoints.length > 1) {
-          this.#report(() => ({ kind: "cleared", trait, endpoint }));
-        }
+        this.#report(() => ({ kind: "cleared", trait, endpoint }));
       }
     }
   }
--- a/packages/dispatch/tests/crashing_parts_test.ts
+++ b/packages/dispatch/tests/crashing_parts_test.ts
@@ -394,6 +394,17 @@
     expect(fleet.nodes.every((node) => node.allows("innocent"))).to.equal(true);
   });
 
+  it("do not add up the crashes of a part that other nodes answer", async () => {
+    const fleet = new Fleet(3);
+    for (let index = 0; index < 10; index += 1) {
+      await fleet.nodes[0]!.crash(`e${index}`, [["rare"]]);
+      fleet.exchange();
+      fleet.nodes[2]!.complete("rare");
+      fleet.exchange();
+      expect(fleet.nodes.every((node) => node.allows("rare"))).to.equal(true);
+    }
+  });
+
   it("do not try a part at the same time after its refusal", async () => {
     const fleet = new Fleet(4);
     for (const endpoint of ["e1", "e2", "e3"]) {
