fix(relay): do not probe the endpoint after a response without a body

Responses to HEAD, and those with status 204 or 304, have no body and often no length, so they were taken for ones that end with their connection, and each cost the endpoint a new connection. They count as having the length 0.

--- a/packages/relay/src/response_body.ts
+++ b/packages/relay/src/response_body.ts
@@ -2,10 +2,11 @@
 import type { ResponseHead } from "./endpoint_connection.ts";
 import { SseBoundaryTracker } from "./sse_boundary_tracker.ts";
 
-/** What tells the end of a response body: its length, its last chunk, or the end
- * of the connection. RFC 9112, section 6.3. */
+/** What tells the end of a response body: its length, also if there is none, its
+ * last chunk, or the end of the connection. RFC 9112, section 6.3. */
 export type BodyFraming = "length" | "chunked" | "close";
 
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 const EVENT_STREAM_TYPE = "text/event-stream";
 
 /** Follows the body of an endpoint's response without buffering it. */
@@ -14,10 +15,12 @@
   readonly #events: SseBoundaryTracker | undefined;
   #receivedBytes = 0;
 
-  constructor({ headers }: ResponseHead) {
+  /** `method` is that of the request. */
+  constructor({ status, headers }: ResponseHead, method: string) {
+    const hasNoBody = method === "HEAD" || BODILESS_STATUSES.has(status);
     this.framing = headers["transfer-encoding"] !== undefined
       ? "chunked"
-      : headers["content-length"] !== undefined
+      : hasNoBody || headers["content-length"] !== undefined
       ? "length"
       : "close";
     if (headers["content-type"]?.startsWith(EVENT_STREAM_TYPE) === true) {
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -161,7 +161,7 @@
       return;
     }
     this.#state = "relaying";
-    this.#body = new ResponseBody(head);
+    this.#body = new ResponseBody(head, request.method);
     this.#options.onUsableHead(this.#headMs);
     if (!this.#options.writer.isHeadSent) {
       this.#sendHead(head, this.#body);
