--- a/packages/relay/tests/sse_boundary_tracker_test.ts
+++ b/packages/relay/tests/sse_boundary_tracker_test.ts
@@ -44,4 +44,22 @@
       expect(tracker.hasEvents).to.equal(end > 0);
     }));
   });
+
+  // A stream that ended inside an event was taken for a complete one.
+  it("knows whether the stream is inside an event however it is split", () => {
+    const part = fc.constantFrom("ab", ":", ":ab", ...LINE_ENDS);
+    const text = fc.array(part).map((parts) => parts.join(""));
+    fc.assert(fc.property(text, fc.nat(20), (stream, cut) => {
+      const tracker = new SseBoundaryTracker();
+      const bytes = Buffer.from(stream);
+      tracker.push(bytes.subarray(0, cut));
+      tracker.push(bytes.subarray(cut));
+      const lines = stream.split(/\r\n|\n|\r/);
+      const openLine = lines.pop();
+      const openLines = lines.slice(lines.lastIndexOf("") + 1);
+      expect(tracker.isInsideEvent).to.equal(
+        openLine !== "" || openLines.some((line) => !line.startsWith(":")),
+      );
+    }));
+  });
 });
