--- a/packages/relay/src/crash_guard.ts
+++ b/packages/relay/src/crash_guard.ts
@@ -5,7 +5,7 @@
 } from "@limpetshed/dispatch";
 import type { LivenessProbe } from "./liveness_probe.ts";
 import type { RelayRequest } from "./relay_request.ts";
-import type { SendResult } from "./send_attempt.ts";
+import type { SendResult } from "./send_result.ts";
 
 /** Options of {@linkcode CrashGuard}. */
 export interface CrashGuardOptions {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -14,7 +14,7 @@
 export { RelayServer, type RelayServerOptions } from "./relay_server.ts";
 export type { RelayRequest } from "./relay_request.ts";
 export { RelayObserver, type SendRecord } from "./relay_observer.ts";
-export type { SendResult } from "./send_attempt.ts";
+export type { SendResult } from "./send_result.ts";
 export {
   type RequestMetadata,
   type ResponseMetadata,
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -1,7 +1,7 @@
 import type { Endpoint, NoChoice, SendOutcome } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
 import type { RelayRequest } from "./relay_request.ts";
-import type { SendResult } from "./send_attempt.ts";
+import type { SendResult } from "./send_result.ts";
 
 /** A completed attempt to send a request to an endpoint. */
 export interface SendRecord {
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -21,7 +21,8 @@
 import type { RelayObserver } from "./relay_observer.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
-import { SendAttempt, type SendResult } from "./send_attempt.ts";
+import { SendAttempt } from "./send_attempt.ts";
+import type { SendResult } from "./send_result.ts";
 import { SseFramer } from "./sse_framer.ts";
 import type { WireFormat } from "./wire_format.ts";
 
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -12,38 +12,12 @@
 import { HeldResponse } from "./held_response.ts";
 import { filterHeaders, hopByHopHeaders } from "./hop_by_hop_headers.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
-import { type BodyFraming, ResponseBody } from "./response_body.ts";
+import { ResponseBody } from "./response_body.ts";
 import type { ResponseWriter } from "./response_writer.ts";
+import type { SendResult } from "./send_result.ts";
 import type { SseFramer } from "./sse_framer.ts";
 import type { WireFormat } from "./wire_format.ts";
 
-/** Result of one attempt to send a request to an endpoint. */
-export interface SendResult {
-  outcome: SendOutcome;
-  /** HTTP status of the endpoint's response, if any. */
-  status?: number;
-  /** Failure reason, for logs. */
-  reason?: string;
-  /** Milliseconds from the start of sending to the response head. */
-  headMs?: number;
-  /** Whether the deadline passed while the endpoint sent a body that has no end:
-   * it is not a stream of events, and the client read it as it came. */
-  overran?: boolean;
-  /** How the endpoint ended the connection, unless the relay did. */
-  connectionEnd?: "closed" | "refused";
-  /** Monotonic time at which sending began, if it did. */
-  sentMs?: number;
-  /** Milliseconds from the response head to the end of the attempt. */
-  answeringMs?: number;
-  framing?: BodyFraming;
-  /** Body bytes received from the endpoint. */
-  receivedBytes?: number;
-  /** Body bytes written to the client. */
-  relayedBytes?: number;
-  /** Bytes received after the last complete event of a stream. */
-  openEventBytes?: number;
-}
-
 /** Options of {@linkcode SendAttempt}. */
 export interface SendAttemptOptions {
   request: RelayRequest;
