fix(dispatch): keep and send the evidence that several crashes share

Cause: evidence was bounded by order of arrival. An endpoint that dies full loses 128 requests with all their parts: nodes kept the last 64 lost responses, sent the first 128 reports of a round and dropped the others, repeated the first 24 of those of all suspect traits, and kept 2,000 traits, of which new ones with one crash displaced those with several. A node that restarted or had lost datagrams never heard of the one that mattered, and nodes that knew of one crash each did not add them up.

Reports wait for later rounds, those of traits with more crashes first and then those of the shortest runs, as an endpoint crashes soon after it begins the request that is the reason. Traits with one crash are kept apart from those with several. Repeats begin with the refused traits with the most crashes and go through the others in turn. A node for which a report makes a trait suspect tells all nodes what it knows of it. What exceeds a bound is logged.

--- a/packages/dispatch/src/crash_suspects.ts
+++ b/packages/dispatch/src/crash_suspects.ts
@@ -1,10 +1,12 @@
 import type { Clock } from "@limpetshed/base";
 import { rendezvousRank } from "@limpetshed/hashing";
 import { type CrashReport, toCrash, toCrashReport } from "./crash_report.ts";
+import { CrashReportQueue } from "./crash_report_queue.ts";
 import { isPartTrait, serviceInTraits } from "./crash_traits.ts";
 import { type LostResponse, LostResponses } from "./lost_responses.ts";
 import { ProvenTraits } from "./proven_traits.ts";
 import { type CrashSuspect, SuspectTraits } from "./suspect_traits.ts";
+import type { Crash } from "./trait_evidence.ts";
 
 /** Whether a request may be sent to an endpoint. */
 export type CrashVerdict =
@@ -30,6 +32,8 @@
   /** Called when an endpoint is found to have crashed with responses of this
    * node. */
   onCrash?: (endpoint: string, lost: readonly LostResponse[]) => void;
+  /** Called when evidence was dropped since it exceeded a bound. */
+  onDropped?: (dropped: { reports: number; traits: number }) => void;
 }
 
 /** Time between the nodes' first trials of a trait after its refusal, so that the
@@ -41,10 +45,12 @@
 /** A part crashes an endpoint that begins to answer it, so a response that has
  * gone on for longer does not speak against its parts. */
 const MAX_START_MS = 2_000;
-/** Reports of one broadcast round. */
-const MAX_REPORTS = 128;
-/** Reports repeated for nodes that have joined or lost them. */
+/** Reports repeated for nodes that have joined or lost them. Most of them are of
+ * the traits with the most crashes, the others of all suspect traits in turn. */
 const MAX_REPEATED_REPORTS = 24;
+const MAX_FIRST_REPORTS = 16;
+/** Latest crashes of one trait that are repeated; more than any level needs. */
+const MAX_REPEATED_CRASHES = 6;
 const REPEAT_INTERVAL_MS = 1_000;
 
 /**
@@ -61,9 +67,9 @@
   readonly #suspects: SuspectTraits;
   /** Requests in flight at endpoints, by trait. */
   readonly #inFlight = new Map<string, number>();
-  /** Functions that make the reports to send next. */
-  #pendingReports: ((nowMs: number) => CrashReport)[] = [];
+  readonly #reports = new CrashReportQueue();
   #lastRepeatMs = Number.NEGATIVE_INFINITY;
+  #repeatOffset = 0;
 
   constructor(options: CrashSuspectsOptions) {
     const { clock, onRefused = () => {}, onCleared = () => {} } = options;
@@ -166,7 +172,7 @@
       );
       for (const endpoint of endpoints) {
         this.#suspects.clear(trait, endpoint);
-        this.#report(() => ({ kind: "cleared", trait, endpoint }));
+        this.#reportCleared(trait, endpoint, endpoints.length);
       }
     }
   }
@@ -179,22 +185,28 @@
       if (report.kind === "cleared") {
         this.#suspects.clear(trait, endpoint);
       } else if (this.#suspects.isCleared(trait, endpoint)) {
-        this.#report(() => ({ kind: "cleared", trait, endpoint }));
+        this.#reportCleared(trait, endpoint, 1);
       } else {
-        this.#suspects.add(trait, toCrash(report, now));
+        this.#addPeerCrash(trait, toCrash(report, now));
       }
     }
   }
 
-  /** Takes what this node has found out since the last call. The function that
-   * it returns makes the reports, with ages as of its call. */
+  /** Takes the reports of the next broadcast round. The function that it returns
+   * makes them, with ages as of its call. */
   takeReports(): () => CrashReport[] {
     this.#suspects.expire();
-    const pending = this.#pendingReports;
-    this.#pendingReports = [];
+    const round = this.#reports.takeRound();
+    const dropped = {
+      reports: this.#reports.takeDropped(),
+      traits: this.#suspects.takeDropped(),
+    };
+    if (dropped.reports + dropped.traits > 0) {
+      this.#options.onDropped?.(dropped);
+    }
     return () => {
       const now = this.#clock.monotonicMs();
-      return pending.map((makeReport) => makeReport(now));
+      return round.map((makeReport) => makeReport(now));
     };
   }
 
@@ -206,11 +218,22 @@
       return [];
     }
     this.#lastRepeatMs = now;
-    return this.#suspects.atLevel("refused", "trial").flatMap((trait) =>
-      this.#suspects.crashes(trait).map((crash) =>
-        toCrashReport(trait, crash, now)
-      )
-    ).slice(0, MAX_REPEATED_REPORTS);
+    const reports = (["refused", "trial"] as const).flatMap((level) =>
+      this.#suspects.atLevel(level)
+        .map((trait) => ({ trait, crashes: this.#suspects.crashes(trait) }))
+        .sort((a, b) => b.crashes.length - a.crashes.length)
+        .flatMap(({ trait, crashes }) =>
+          crashes.slice(-MAX_REPEATED_CRASHES).map((crash) =>
+            toCrashReport(trait, crash, now)
+          )
+        )
+    );
+    const others = reports.splice(MAX_FIRST_REPORTS);
+    const start = others.length === 0 ? 0 : this.#repeatOffset % others.length;
+    const inTurn = [...others.slice(start), ...others.slice(0, start)]
+      .slice(0, MAX_REPEATED_REPORTS - MAX_FIRST_REPORTS);
+    this.#repeatOffset += inTurn.length;
+    return [...reports, ...inTurn];
   }
 
   #addCrashes(endpoint: string, lost: readonly LostResponse[]): void {
@@ -218,23 +241,55 @@
       return;
     }
     this.#options.onCrash?.(endpoint, lost);
-    for (const { traits, trials, sentMs, lostMs } of lost) {
+    // Evidence that was added last is dropped last: that of the requests that ran
+    // for the shortest time.
+    const inOrder = [...lost].sort((a, b) => a.sentMs - b.sentMs);
+    for (const { traits, trials, sentMs, lostMs } of inOrder) {
       for (const trait of traits) {
         const isTrial = trials.includes(trait);
         const crash = { endpoint, sentMs, crashedMs: lostMs, isTrial };
         if (this.#suspects.add(trait, crash)) {
-          this.#report((now) => toCrashReport(trait, crash, now));
+          this.#reportCrash(trait, crash);
         }
       }
     }
   }
 
-  #report(makeReport: (nowMs: number) => CrashReport): void {
-    if (this.#pendingReports.length < MAX_REPORTS) {
-      this.#pendingReports.push(makeReport);
+  /** Adds a crash that another node reported. Tells the other nodes all crashes of
+   * a trait that becomes suspect: each of them may know only some. */
+  #addPeerCrash(trait: string, crash: Crash): void {
+    const level = this.#suspects.level(trait);
+    if (
+      this.#suspects.add(trait, crash) && this.#suspects.level(trait) !== level
+    ) {
+      this.#suspects.crashes(trait).slice(-MAX_REPEATED_CRASHES)
+        .forEach((known) => this.#reportCrash(trait, known));
     }
   }
 
+  #reportCrash(trait: string, crash: Crash): void {
+    const { endpoint, sentMs, crashedMs } = crash;
+    this.#reports.add({
+      kind: "crash",
+      trait,
+      endpoint,
+      crashCount: this.#suspects.crashes(trait).length,
+      runMs: crashedMs - sentMs,
+      make: (nowMs) => toCrashReport(trait, crash, nowMs),
+    });
+  }
+
+  #reportCleared(trait: string, endpoint: string, crashCount: number): void {
+    this.#reports.add({
+      kind: "cleared",
+      trait,
+      endpoint,
+      crashCount,
+      runMs: 0,
+      make: () => ({ kind: "cleared", trait, endpoint }),
+    });
+  }
+
   /** Time for which a request with `traits` is refused because of one of them;
    * 0 if it is not. */
   #waitMs(trait: string, traits: readonly string[]): number {
--- a/packages/dispatch/src/lost_responses.ts
+++ b/packages/dispatch/src/lost_responses.ts
@@ -19,8 +19,9 @@
  * time; crashed endpoints stay down for seconds. */
 const CONFIRMATION_MS = 3_000;
 const MAX_ENDPOINTS = 2_000;
-/** Responses of one endpoint that are considered; the latest ones. */
-const MAX_RESPONSES = 64;
+/** Responses of one endpoint that are considered, the latest ones; more than the
+ * slots and the queue of an endpoint. */
+const MAX_RESPONSES = 1_024;
 
 /**
  * Tells responses that were lost with their endpoint from those of endpoints that
@@ -47,7 +48,9 @@
     ) {
       return [response];
     }
-    const responses = this.#byEndpoint.get(endpoint) ?? [];
+    const responses = (this.#byEndpoint.get(endpoint) ?? []).filter((other) =>
+      lostMs - other.lostMs <= CONFIRMATION_MS
+    );
     responses.push(response);
     this.#byEndpoint.set(endpoint, responses.slice(-MAX_RESPONSES));
     return [];
--- a/packages/dispatch/src/suspect_traits.ts
+++ b/packages/dispatch/src/suspect_traits.ts
@@ -42,8 +42,13 @@
 const REFUSAL_MS = 60_000;
 const PROVEN_REFUSAL_MS = 5_000;
 const MAX_REFUSAL_MS = 600_000;
-/** Capacity; an entry takes about 400 bytes. */
-const MAX_TRAITS = 2_000;
+/** Interval at which old evidence is looked for. */
+const EXPIRY_INTERVAL_MS = 1_000;
+/** Traits with one crash or none, those of several full endpoints; an entry takes
+ * about 400 bytes. */
+const MAX_SINGLE_TRAITS = 8_000;
+/** Traits with several crashes. */
+const MAX_REPEATED_TRAITS = 2_000;
 
 interface Suspect {
   evidence: TraitEvidence;
@@ -59,10 +64,19 @@
   readonly #options: SuspectTraitsOptions;
   /** Traits with crashes. */
   readonly #active = new Set<string>();
-  readonly #suspects = new LRUCache<string, Suspect>({
-    max: MAX_TRAITS,
-    dispose: (_suspect, trait) => this.#active.delete(trait),
+  /** Traits with one crash, or with none that still speaks against them. Kept
+   * apart so that they cannot displace evidence that several crashes share. */
+  readonly #single = new LRUCache<string, Suspect>({
+    max: MAX_SINGLE_TRAITS,
+    dispose: (_suspect, trait, reason) => this.#onDisposed(trait, reason),
   });
+  /** Traits with several crashes. */
+  readonly #repeated = new LRUCache<string, Suspect>({
+    max: MAX_REPEATED_TRAITS,
+    dispose: (_suspect, trait, reason) => this.#onDisposed(trait, reason),
+  });
+  #dropped = 0;
+  #lastExpiryMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: SuspectTraitsOptions) {
     this.#options = options;
@@ -73,27 +87,35 @@
     return this.#active.size;
   }
 
-  /** Traits at these levels. */
-  atLevel(...levels: readonly SuspicionLevel[]): string[] {
-    return [...this.#active].filter((trait) =>
-      levels.includes(this.level(trait))
+  /** Returns the number of traits that were dropped with their crashes since the
+   * last call, as there were too many. */
+  takeDropped(): number {
+    const dropped = this.#dropped;
+    this.#dropped = 0;
+    return dropped;
+  }
+
+  /** Traits at this level; each has several crashes. */
+  atLevel(level: "refused" | "trial"): string[] {
+    return [...this.#repeated.keys()].filter((trait) =>
+      this.level(trait) === level
     );
   }
 
   /** The crashes that speak against a trait. */
   crashes(trait: string): Crash[] {
-    const suspect = this.#suspects.peek(trait);
+    const suspect = this.#peek(trait);
     return suspect === undefined ? [] : [...suspect.evidence.crashes.values()];
   }
 
   /** Whether a crash of `endpoint` no longer speaks against the trait. */
   isCleared(trait: string, endpoint: string): boolean {
-    return this.#suspects.peek(trait)?.evidence.isCleared(endpoint) === true;
+    return this.#peek(trait)?.evidence.isCleared(endpoint) === true;
   }
 
   /** Adds a crash to a trait; returns whether it is new. */
   add(trait: string, crash: Crash): boolean {
-    const suspect = this.#suspects.get(trait) ?? {
+    const suspect = this.#peek(trait) ?? {
       evidence: new TraitEvidence(),
       completedBefore: 0,
       refusals: 0,
@@ -105,8 +127,8 @@
     if (suspect.evidence.crashes.size === 1) {
       suspect.completedBefore = this.#completedCount(trait);
     }
-    this.#suspects.set(trait, suspect);
     this.#active.add(trait);
+    this.#store(trait, suspect);
     if (this.level(trait) === "refused") {
       this.#refuse(trait, suspect);
     }
@@ -115,11 +137,12 @@
 
   /** Clears the crash of an endpoint, also if it is yet to be reported. */
   clear(trait: string, endpoint: string): void {
-    const suspect = this.#suspects.peek(trait);
+    const suspect = this.#peek(trait);
     if (suspect === undefined) {
       return;
     }
     suspect.evidence.clear(endpoint);
+    this.#store(trait, suspect);
     if (suspect.evidence.crashes.size > 0) {
       return;
     }
@@ -133,12 +156,11 @@
 
   /** How requests with a trait are treated. */
   level(trait: string): SuspicionLevel {
-    if (!this.#active.has(trait)) {
+    const suspect = this.#repeated.peek(trait);
+    if (suspect === undefined) {
       return "none";
     }
-    const { evidence: { episodes }, completedBefore } = this.#suspects.peek(
-      trait,
-    )!;
+    const { evidence: { episodes }, completedBefore } = suspect;
     if (!isPartTrait(trait)) {
       return episodes >= REQUEST_REFUSAL_EPISODES ? "refused" : "none";
     }
@@ -158,7 +180,7 @@
   /** Time until a trait at level `refused` may be tried again, milliseconds; 0 or
    * less if it may be. */
   refusalRemainingMs(trait: string): number {
-    const suspect = this.#suspects.peek(trait)!;
+    const suspect = this.#peek(trait)!;
     // A proven part reaches the level without a further crash, when enough other
     // requests have been answered.
     if (suspect.refusals === 0) {
@@ -173,12 +195,12 @@
    * decides between them, as many.
    */
   isExplained(trait: string, traits: readonly string[]): boolean {
-    const { hasFailedTrial } = this.#suspects.peek(trait)!.evidence;
+    const { hasFailedTrial } = this.#peek(trait)!.evidence;
     const crashes = this.crashes(trait);
     const minCrashes = crashes.length + (hasFailedTrial ? 1 : 0);
     const others = this.atLevel("refused")
       .filter((other) => isPartTrait(other) && !traits.includes(other))
-      .map((other) => this.#suspects.peek(other)!.evidence.crashes)
+      .map((other) => this.#peek(other)!.evidence.crashes)
       .filter(({ size }) => size >= minCrashes);
     return crashes.every(({ endpoint }) =>
       others.some((other) => other.has(endpoint))
@@ -188,16 +210,42 @@
   /** Forgets traits for which there has been no new evidence for long. */
   expire(): void {
     const now = this.#options.clock.monotonicMs();
+    if (now - this.#lastExpiryMs < EXPIRY_INTERVAL_MS) {
+      return;
+    }
+    this.#lastExpiryMs = now;
     for (const trait of [...this.#active]) {
-      const { evidence, refusedUntilMs } = this.#suspects.peek(trait)!;
+      const { evidence, refusedUntilMs } = this.#peek(trait)!;
       if (
         Math.max(evidence.lastCrashMs, refusedUntilMs) + CRASH_TTL_MS <= now
       ) {
-        this.#suspects.delete(trait);
+        this.#single.delete(trait);
+        this.#repeated.delete(trait);
       }
     }
   }
 
+  #peek(trait: string): Suspect | undefined {
+    return this.#repeated.peek(trait) ?? this.#single.peek(trait);
+  }
+
+  /** Keeps a trait among those with as many crashes as it has. */
+  #store(trait: string, suspect: Suspect): void {
+    const isRepeated = suspect.evidence.crashes.size > 1;
+    (isRepeated ? this.#repeated : this.#single).set(trait, suspect);
+    (isRepeated ? this.#single : this.#repeated).delete(trait);
+  }
+
+  #onDisposed(trait: string, reason: LRUCache.DisposeReason): void {
+    const isMoved = this.#single.has(trait) && this.#repeated.has(trait);
+    if (reason === "set" || isMoved || !this.#active.delete(trait)) {
+      return;
+    }
+    if (reason === "evict") {
+      this.#dropped += 1;
+    }
+  }
+
   /** Starts a refusal, unless one is in force: crashes of requests that were in
    * flight before it do not extend it. */
   #refuse(trait: string, suspect: Suspect): void {
--- a/packages/dispatch/tests/crashing_parts_test.ts
+++ b/packages/dispatch/tests/crashing_parts_test.ts
@@ -25,10 +25,11 @@
   #trials: string[] = [];
 
   constructor(
-    { clock = new ManualClock(), nodeId = "n1", nodeIds = ["n1"] }: {
+    { clock = new ManualClock(), nodeId = "n1", nodeIds = ["n1"], onDropped }: {
       clock?: ManualClock;
       nodeId?: string;
       nodeIds?: string[];
+      onDropped?: (dropped: { reports: number; traits: number }) => void;
     } = {},
   ) {
     this.clock = clock;
@@ -36,6 +37,7 @@
       clock,
       nodeId,
       nodeIds: () => nodeIds,
+      onDropped,
     });
   }
 
@@ -305,6 +307,62 @@
   });
 });
 
+// Evidence of one crash displaced that of several, and a node that lost more than 64
+// responses with an endpoint forgot the first of them.
+describe("CrashSuspects given more evidence than they keep", () => {
+  before(initHashing);
+
+  it("keep what several crashes have in common", async () => {
+    const node = new Node();
+    await node.crash("e1", [["bad"]]);
+    await node.crash("e2", [["bad"]]);
+    for (let endpoint = 0; endpoint < 40; endpoint += 1) {
+      const prompts = Array.from(
+        { length: 512 },
+        (_, index) => [`bystander-${endpoint}-${index}`],
+      );
+      node.lose(`f${endpoint}`, prompts);
+      node.suspects.recordEndpointDown(`f${endpoint}`);
+    }
+    await node.crash("e3", [["bad"]]);
+    expect(node.allows("bad")).to.equal(false);
+  });
+
+  it("tell how much was dropped", async () => {
+    const dropped = { reports: 0, traits: 0 };
+    const node = new Node({
+      onDropped: ({ reports, traits }) => {
+        dropped.reports += reports;
+        dropped.traits += traits;
+      },
+    });
+    for (let endpoint = 0; endpoint < 20; endpoint += 1) {
+      const prompts = Array.from(
+        { length: 512 },
+        (_, index) => [`bystander-${endpoint}-${index}`],
+      );
+      await node.crash(`e${endpoint}`, prompts);
+    }
+    node.suspects.takeReports();
+    expect(dropped).to.deep.equal({
+      reports: 20 * 512 - 4_096,
+      traits: 20 * 512 - 8_000,
+    });
+  });
+
+  it("count each of the requests that an endpoint lost", async () => {
+    const node = new Node();
+    for (const endpoint of ["e1", "e2", "e3"]) {
+      const bystanders = Array.from(
+        { length: 127 },
+        (_, index) => [`bystander-${endpoint}-${index}`],
+      );
+      await node.crash(endpoint, [["bad"], ...bystanders]);
+    }
+    expect(node.allows("bad")).to.equal(false);
+  });
+});
+
 /** Nodes that exchange reports, of which `loses` decides which get lost. */
 class Fleet {
   readonly clock = new ManualClock();
@@ -379,6 +437,20 @@
     expect(fleet.nodes.every((node) => !node.allows("bad"))).to.equal(true);
   });
 
+  it("add up crashes of which each node knows only some", async () => {
+    const fleet = new Fleet(3);
+    const [first, second, third] = fleet.nodes;
+    await first!.crash("e1", [["bad"]]);
+    third!.suspects.applyPeerReports(first!.suspects.takeReports()());
+    await second!.crash("e2", [["bad"]]);
+    third!.suspects.applyPeerReports(second!.suspects.takeReports()());
+    // Only the third node knows of both; it tells the others.
+    fleet.exchange();
+    await first!.crash("e3", [["bad"]]);
+    fleet.exchange();
+    expect(fleet.nodes.some((node) => node.allows("bad"))).to.equal(false);
+  });
+
   it("clear a part everywhere, also where a report of it arrives later", async () => {
     const fleet = new Fleet(3);
     for (const endpoint of ["e1", "e2", "e3"]) {
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -201,6 +201,8 @@
           endpoint,
           lostResponses: lost.length,
         }),
+      onDropped: (dropped) =>
+        logger.warn({ event: "crash_evidence_dropped", ...dropped }),
     });
   }
 
