--- a/packages/dispatch/tests/crashing_parts_test.ts
+++ b/packages/dispatch/tests/crashing_parts_test.ts
@@ -451,6 +451,18 @@
     expect(fleet.nodes.some((node) => node.allows("bad"))).to.equal(false);
   });
 
+  it("take the report of a node for the end of an endpoint", async () => {
+    const fleet = new Fleet(2);
+    const [first, second] = fleet.nodes;
+    for (const endpoint of ["e1", "e2", "e3"]) {
+      // The second node could not find out whether the endpoint is down.
+      second!.lose(endpoint, [["bad"]]);
+      await first!.crash(endpoint, [["bystander", endpoint]]);
+      fleet.exchange();
+    }
+    expect(second!.allows("bad")).to.equal(false);
+  });
+
   it("clear a part everywhere, also where a report of it arrives later", async () => {
     const fleet = new Fleet(3);
     for (const endpoint of ["e1", "e2", "e3"]) {
