fix(relay): notice the crashes of endpoints that cannot be probed

Cause: a crash counted only if the endpoint was in the registry when its connection ended, had ended it itself and refused the node's next connection. An endpoint whose entry was gone already, that had restarted, whose address another one had taken, or that fell silent was not counted, nor was one whose request the client or the deadline had ended a moment before.

Any lost response counts now if its endpoint is found down close to it and did not say that it leaves. An endpoint is down as well when its entry is removed, when another id takes its address or answers there, and when another node reports its crash. Why this holds: each of these says that the process of that start is gone, whoever closed the connection.

--- a/packages/dispatch/src/crash_suspects.ts
+++ b/packages/dispatch/src/crash_suspects.ts
@@ -158,9 +158,11 @@
     this.#addCrashes(endpoint, lost);
   }
 
-  /** Records that an endpoint refuses connections or has restarted. */
-  recordEndpointDown(endpoint: string): void {
-    this.#addCrashes(endpoint, this.#lostResponses.endpointDown(endpoint));
+  /** Records that an endpoint refuses connections, has restarted or is gone.
+   * `noticeMs` is the time that this may have taken to notice. */
+  recordEndpointDown(endpoint: string, { noticeMs = 0 } = {}): void {
+    const lost = this.#lostResponses.endpointDown(endpoint, { noticeMs });
+    this.#addCrashes(endpoint, lost);
   }
 
   /** Records that a request was answered in full, which clears its traits. */
@@ -188,6 +190,8 @@
         this.#reportCleared(trait, endpoint, 1);
       } else {
         this.#addPeerCrash(trait, toCrash(report, now));
+        // The other node knows that the endpoint is down.
+        this.recordEndpointDown(endpoint, { noticeMs: report.crashAgeMs });
       }
     }
   }
--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@limpetshed/base";
+import { LRUCache } from "lru-cache";
 import type { EndpointEntry } from "./endpoint_entry.ts";
 
 /** An endpoint between one start and the next, as known to this node. A restart
@@ -23,8 +24,13 @@
   clock: Clock;
   /** Called when an endpoint is removed or replaced by a restart. */
   onRemove?: (endpoint: Endpoint, reason: RemovalReason) => void;
+  /** Called when an endpoint seems to have ended, though it did not say that it
+   * leaves: its entry was removed or another endpoint has its address. */
+  onVanished?: (endpoint: Endpoint) => void;
 }
 
+const MAX_RESTARTED_KEYS = 1_000;
+
 /** Registry of the known endpoints and of the availability zones out of
  * service. */
 export class EndpointRegistry {
@@ -34,6 +40,10 @@
   readonly #byKey = new Map<string, Endpoint>();
   readonly #endpointsByService = new Map<string, readonly Endpoint[]>();
   readonly #usableByService = new Map<string, readonly Endpoint[]>();
+  /** Incarnations that ended without saying that they leave. */
+  readonly #restartedKeys = new LRUCache<string, true>({
+    max: MAX_RESTARTED_KEYS,
+  });
   #version = 0;
 
   constructor(options: EndpointRegistryOptions) {
@@ -55,6 +65,9 @@
     const coldUntilMs = entry.coldMs > 0 ? now + entry.coldMs : 0;
     if (known !== undefined && known.key !== key) {
       this.#byKey.delete(known.key);
+      if (known.entry.state === "ready") {
+        this.#restartedKeys.set(known.key, true);
+      }
       this.#options.onRemove?.(known, "restarted");
     }
     const isSameIncarnation = known?.key === key;
@@ -70,6 +83,9 @@
     };
     this.#byId.set(entry.id, endpoint);
     this.#byKey.set(key, endpoint);
+    if (!isSameIncarnation) {
+      this.#reportAddressTaken(endpoint);
+    }
     this.#invalidate();
     return endpoint;
   }
@@ -77,8 +93,9 @@
   /** Makes an endpoint whose entry was removed a last resort. */
   demote(id: string): void {
     const known = this.#byId.get(id);
-    if (known !== undefined) {
+    if (known !== undefined && !known.isLastResort) {
       known.isLastResort = true;
+      this.#reportVanished(known);
       this.#invalidate();
     }
   }
@@ -116,6 +133,12 @@
     return this.#byKey.get(key);
   }
 
+  /** Whether the endpoint of this key was replaced by a restart without having
+   * said that it leaves. */
+  hasRestarted(key: string): boolean {
+    return this.#restartedKeys.has(key);
+  }
+
   /** All endpoints of a service, sorted by key. */
   serviceEndpoints(service: string): readonly Endpoint[] {
     let endpoints = this.#endpointsByService.get(service);
@@ -149,6 +172,20 @@
       !this.#zonesOut.has(known.entry.availabilityZone);
   }
 
+  #reportAddressTaken({ key, entry: { address } }: Endpoint): void {
+    for (const other of this.#byId.values()) {
+      if (other.key !== key && other.entry.address === address) {
+        this.#reportVanished(other);
+      }
+    }
+  }
+
+  #reportVanished(endpoint: Endpoint): void {
+    if (endpoint.entry.state === "ready") {
+      this.#options.onVanished?.(endpoint);
+    }
+  }
+
   #invalidate(): void {
     this.#version += 1;
     this.#endpointsByService.clear();
--- a/packages/dispatch/src/lost_responses.ts
+++ b/packages/dispatch/src/lost_responses.ts
@@ -18,6 +18,9 @@
 /** A lost response counts as a crash if the endpoint is found down within this
  * time; crashed endpoints stay down for seconds. */
 const CONFIRMATION_MS = 3_000;
+/** Longest time from the end of an endpoint to the news of it: its entry in the
+ * key-value store lapses after several missed heartbeats. */
+const MAX_NOTICE_MS = 5_000;
 const MAX_ENDPOINTS = 2_000;
 /** Responses of one endpoint that are considered, the latest ones; more than the
  * slots and the queue of an endpoint. */
@@ -49,20 +52,27 @@
       return [response];
     }
     const responses = (this.#byEndpoint.get(endpoint) ?? []).filter((other) =>
-      lostMs - other.lostMs <= CONFIRMATION_MS
+      lostMs - other.lostMs <= CONFIRMATION_MS + MAX_NOTICE_MS
     );
     responses.push(response);
     this.#byEndpoint.set(endpoint, responses.slice(-MAX_RESPONSES));
     return [];
   }
 
-  /** Records that an endpoint is down or has restarted; returns the responses
-   * that were lost with it. */
-  endpointDown(endpoint: string): LostResponse[] {
-    const now = this.#clock.monotonicMs();
-    this.#downSinceMs.set(endpoint, now);
+  /** Records that an endpoint has been down for up to `noticeMs`; returns the
+   * responses that were lost with it. */
+  endpointDown(endpoint: string, { noticeMs }: {
+    noticeMs: number;
+  }): LostResponse[] {
+    if (noticeMs > MAX_NOTICE_MS) {
+      return [];
+    }
+    const downSinceMs = this.#clock.monotonicMs() - noticeMs;
+    this.#downSinceMs.set(endpoint, downSinceMs);
     const responses = this.#byEndpoint.get(endpoint) ?? [];
     this.#byEndpoint.delete(endpoint);
-    return responses.filter(({ lostMs }) => now - lostMs <= CONFIRMATION_MS);
+    return responses.filter(({ lostMs }) =>
+      downSinceMs - lostMs <= CONFIRMATION_MS
+    );
   }
 }
--- a/packages/dispatch/tests/crashing_parts_test.ts
+++ b/packages/dispatch/tests/crashing_parts_test.ts
@@ -457,7 +457,7 @@
     for (const endpoint of ["e1", "e2", "e3"]) {
       // The second node could not find out whether the endpoint is down.
       second!.lose(endpoint, [["bad"]]);
-      await first!.crash(endpoint, [["bystander", endpoint]]);
+      await first!.crash(endpoint, [[`bystander-${endpoint}`]]);
       fleet.exchange();
     }
     expect(second!.allows("bad")).to.equal(false);
--- a/packages/relay/src/crash_guard.ts
+++ b/packages/relay/src/crash_guard.ts
@@ -11,8 +11,8 @@
 export interface CrashGuardOptions {
   suspects: CrashSuspects;
   probe: LivenessProbe;
-  /** Whether the endpoint with this key is known and not about to leave. */
-  isInService: (endpointKey: string) => boolean;
+  /** Whether the endpoint with this key said that it leaves, or may have. */
+  isLeaving: (endpointKey: string) => boolean;
 }
 
 /** Statuses from which a response is an error: it says nothing of what a prompt
@@ -36,8 +36,8 @@
   /** Resolves to whether an endpoint that did not say that it leaves refuses
    * connections. */
   async isDown({ key, entry }: Endpoint): Promise<boolean> {
-    const { probe, isInService } = this.#options;
-    return isInService(key) && await probe.isRefused(entry.address);
+    const { probe, isLeaving } = this.#options;
+    return !isLeaving(key) && await probe.isRefused(entry.address);
   }
 
   /** Counts `request` as in flight until `result` resolves, and then records what
@@ -73,16 +73,17 @@
       result: SendResult;
     },
   ): void {
-    const { suspects, isInService } = this.#options;
+    const { suspects, isLeaving } = this.#options;
     const { outcome, status = 0, connectionEnd, sentMs, answeringMs } = result;
     if (outcome === "delivered") {
       if (status < FIRST_ERROR_STATUS) {
         suspects.recordCompleted(request.service, this.#traits(request));
       }
-    } else if (connectionEnd === "refused") {
+    } else if (connectionEnd === "refused" || outcome === "misdirected") {
       suspects.recordEndpointDown(key);
     } else if (
-      connectionEnd === "closed" && sentMs !== undefined && isInService(key)
+      (outcome === "lost" || outcome === "broken") && sentMs !== undefined &&
+      !isLeaving(key)
     ) {
       suspects.recordLostResponse({
         traits: [...request.promptTraits, request.fingerprint()],
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -55,6 +55,9 @@
   random: () => number;
 }
 
+/** Time until the entry of an endpoint that ended lapses: several missed
+ * heartbeats, which endpoints send each second. */
+const ENTRY_LAPSE_MS = 4_000;
 /** Interval at which a draining node checks for requests in flight. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 /** Fraction of an endpoint's connection limit shared by the current nodes; the
@@ -104,6 +107,10 @@
         }
         this.#removeEndpoint(endpoint);
       },
+      onVanished: ({ key }) =>
+        this.crashSuspects.recordEndpointDown(key, {
+          noticeMs: ENTRY_LAPSE_MS,
+        }),
     });
     this.#server = new RelayServer({
       clock,
@@ -216,7 +223,7 @@
       crashGuard: new CrashGuard({
         suspects: this.crashSuspects,
         probe: this.#livenessProbe,
-        isInService: (key) => this.#isInService(key),
+        isLeaving: (key) => this.#isLeaving(key),
       }),
       retryBudget: new RetryBudget({
         clock,
@@ -254,10 +261,11 @@
     });
   }
 
-  #isInService(endpointKey: string): boolean {
+  #isLeaving(endpointKey: string): boolean {
     const endpoint = this.registry.getByKey(endpointKey);
-    return endpoint !== undefined && !endpoint.isLastResort &&
-      endpoint.entry.state === "ready";
+    return endpoint === undefined
+      ? !this.registry.hasRestarted(endpointKey)
+      : endpoint.entry.state !== "ready";
   }
 
   #removeEndpoint({ key, entry }: Endpoint): void {
--- a/packages/relay/tests/crash_detection_test.ts
+++ b/packages/relay/tests/crash_detection_test.ts
@@ -93,7 +93,7 @@
 
   it("is found if the endpoint has restarted before its connections end", async () => {
     await start((index, socket) => {
-      register(index, `e${index + 1}`, 2);
+      register(index, `e${index + 1}`, bad + 1);
       socket.destroy();
     });
     await sendBad("b1");
@@ -131,6 +131,7 @@
       await sendBad(id, SETTLE_MS);
       const endpoint = fixture.node.registry.get(`e${silent.at(-1)! + 1}`)!;
       fixture.node.crashSuspects.recordEndpointDown(endpoint.key);
+      fixture.node.registry.delete(endpoint.entry.id);
     }
     await expectRefusedAfterTwo();
   });
