--- /dev/null
+++ b/packages/relay/tests/endpoint_limit_test.ts
@@ -0,0 +1,83 @@
+import { expect } from "chai";
+import { afterEach, beforeEach, describe, it } from "mocha";
+import { RelayFixture, type RequestHandler } from "./relay_fixture.ts";
+
+const LIMIT_PER_S = 2;
+/** Requests allowed within any 4 s: one and a half times the limit, and five. */
+const MAX_REQUESTS = 1.5 * LIMIT_PER_S * 4 + 5;
+const REQUEST_COUNT = 60;
+const NOT_RUN_STATUS = 503;
+
+/** Responds with the limit that `named` returns, if any. */
+function nameLimit(
+  named: () => string | undefined,
+  status = 200,
+): RequestHandler {
+  return (request, res) => {
+    const limit = named();
+    res.writeHead(status, {
+      "x-id": request.id,
+      "x-signed": "1",
+      ...(limit === undefined ? {} : { "x-limit": limit }),
+    });
+    res.end(`answer to ${request.id}`);
+  };
+}
+
+// Endpoints that named a limit went on getting their usual part of the requests.
+describe("a node before endpoints that name a limit", () => {
+  let fixture: RelayFixture;
+
+  beforeEach(() => {
+    fixture = new RelayFixture();
+  });
+
+  afterEach(() => fixture.close());
+
+  async function sendMany(count = REQUEST_COUNT): Promise<number[]> {
+    const statuses: number[] = [];
+    for (let index = 0; index < count; index += 1) {
+      const { status } = await fixture.send("/unsafe/", { id: `r${index}` });
+      statuses.push(status);
+    }
+    return statuses;
+  }
+
+  const received = (index: number) => fixture.endpoints[index]!.requests.length;
+
+  it("sends no more than the limit and the rest elsewhere", async () => {
+    await fixture.start(
+      nameLimit(() => String(LIMIT_PER_S)),
+      nameLimit(() => undefined),
+    );
+    expect(await sendMany()).to.deep.equal(Array(REQUEST_COUNT).fill(200));
+    expect(received(0)).to.be.within(1, MAX_REQUESTS);
+  });
+
+  it("keeps to a limit that is named in an error", async () => {
+    await fixture.start(
+      nameLimit(() => String(LIMIT_PER_S), 404),
+      nameLimit(() => undefined),
+    );
+    await sendMany();
+    expect(received(0)).to.be.within(1, MAX_REQUESTS);
+  });
+
+  it("refuses at once if all endpoints are at their limits", async () => {
+    await fixture.start(
+      nameLimit(() => String(LIMIT_PER_S)),
+      nameLimit(() => String(LIMIT_PER_S)),
+    );
+    const startMs = performance.now();
+    const statuses = await sendMany();
+    expect(performance.now() - startMs).to.be.below(4_000);
+    expect(received(0)).to.be.within(1, MAX_REQUESTS);
+    expect(received(1)).to.be.within(1, MAX_REQUESTS);
+    const refused = statuses.filter((status) => status === NOT_RUN_STATUS);
+    expect(refused.length).to.equal(REQUEST_COUNT - received(0) - received(1));
+    const { headers } = await fixture.send("/unsafe/");
+    const retryAfterS = Number(headers["retry-after"]);
+    expect(retryAfterS).to.be.above(0);
+    expect(retryAfterS).to.be.below(60);
+  });
+});
