feat(dispatch): keep the fleet within the limits that endpoints name

A node cannot ask others within the half second allowed, so each uses an equal share of the limit, which is safe without asking, and lends what it does not need. With more nodes than whole requests shares go round. What a response says is held against the time at which its request was sent, so that responses that overtake each other do not raise or end a limit. Endpoints without a share are left out; if all are at their limits, requests are refused at once, urgent ones last, with the time in which the share serves them as retry-after.

The limiter of cold endpoints gives out whole requests by the same function.

--- a/packages/dispatch/src/cold_start_limiter.ts
+++ b/packages/dispatch/src/cold_start_limiter.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@limpetshed/base";
-import { hash64 } from "@limpetshed/hashing";
+import { nodeRank } from "./fleet_share.ts";
 import { SlidingWindowCounter } from "./sliding_window_counter.ts";
 
 /** Fleet-wide limit on requests to one cold endpoint. */
@@ -103,10 +103,7 @@
     if (perNode >= 1) {
       return perNode;
     }
-    const ownHash = hash64(`${endpoint}/${this.#nodeId}`);
-    const idsWithLowerHash = ids.filter((id) =>
-      hash64(`${endpoint}/${id}`) < ownHash
-    );
-    return idsWithLowerHash.length < allowed ? 1 : 0;
+    const rank = nodeRank(endpoint, { nodeId: this.#nodeId, nodeIds: ids });
+    return rank < allowed ? 1 : 0;
   }
 }
--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@limpetshed/base";
 import type { ServiceSpec } from "@limpetshed/routing";
 import type { ColdStartLimiter } from "./cold_start_limiter.ts";
+import type { EndpointLimiter } from "./endpoint_limiter.ts";
 import type { EndpointPolicy } from "./endpoint_policy.ts";
 import type { Endpoint, EndpointRegistry } from "./endpoint_registry.ts";
 import type { OutlierDetector } from "./outlier_detector.ts";
@@ -20,6 +21,8 @@
   | "all_tried"
   /** The remaining endpoints are cold and at their rate limit. */
   | "cold_limit"
+  /** The remaining endpoints name limits, and this node has no share left. */
+  | "endpoint_limit"
   /** This node may not open more connections to the remaining endpoints. */
   | "connection_limit"
   /** Several endpoints went down while executing the request. */
@@ -65,6 +68,7 @@
   registry: EndpointRegistry;
   policy: EndpointPolicy;
   coldStartLimiter: ColdStartLimiter;
+  endpointLimiter: EndpointLimiter;
   outlierDetector: OutlierDetector;
   overloadGuard: OverloadGuard;
   /** Whether this node may open no more connections to the address. True even
@@ -73,8 +77,8 @@
   isConnectionLimitReached: (address: string, spec: ServiceSpec) => boolean;
 }
 
-/** Chooses endpoints for requests: filters the usable ones by connection and
- * cold-start limits, outliers and overload, then applies the policy. */
+/** Chooses endpoints for requests: filters the usable ones by connection,
+ * cold-start and named limits, outliers and overload, then applies the policy. */
 export class EndpointChooser {
   readonly #options: EndpointChooserOptions;
 
@@ -95,9 +99,8 @@
   }
 
   /** Endpoints that the request may be sent to, or why there are none. */
-  #candidates(
-    { spec, tried }: ChoiceRequest,
-  ): Endpoint[] | { refusal: NoChoiceReason } {
+  #candidates(req: ChoiceRequest): Endpoint[] | NoChoice {
+    const { spec, tried } = req;
     const { registry } = this.#options;
     const usable = registry.usable(spec.name);
     if (usable.length === 0) {
@@ -113,14 +116,50 @@
     if (withinColdLimit.length === 0) {
       return { refusal: "cold_limit" };
     }
+    const withinLimits = this.#filterWithinLimits(withinColdLimit, req);
+    if ("refusal" in withinLimits) {
+      return withinLimits;
+    }
     const candidates = this.#excludeOutliers(
-      this.#filterConnectable(withinColdLimit, spec),
+      this.#filterConnectable(withinLimits, spec),
     );
     return candidates.length === 0
       ? { refusal: "connection_limit" }
       : candidates;
   }
 
+  /** Excludes endpoints whose limits leave this node no request. If all others
+   * have limits too, the last requests are for the urgent ones. */
+  #filterWithinLimits(
+    endpoints: Endpoint[],
+    { spec, tried, overloadInput: { account, priority } }: ChoiceRequest,
+  ): Endpoint[] | NoChoice {
+    const { endpointLimiter, overloadGuard } = this.#options;
+    const limited = endpoints.filter(({ key }) =>
+      endpointLimiter.isLimited(key)
+    );
+    if (limited.length === 0) {
+      return endpoints;
+    }
+    const allowed = endpoints.filter(({ key }) => endpointLimiter.allows(key));
+    limited.filter((endpoint) => !allowed.includes(endpoint))
+      .forEach(({ key }) => endpointLimiter.recordDenied(key));
+    if (limited.length < endpoints.length) {
+      return allowed;
+    }
+    const keys = limited.map(({ key }) => key);
+    const isAdmitted = allowed.length > 0 && (tried.size > 0 ||
+      endpointLimiter.admits({
+        endpoints: keys,
+        priority,
+        isAboveShare: overloadGuard.isAboveShare(spec.name, account),
+      }));
+    return isAdmitted ? allowed : {
+      refusal: "endpoint_limit",
+      waitMs: endpointLimiter.recordRefusal(spec.name, keys),
+    };
+  }
+
   /** Applies the overload guard to first attempts only: a request that was
    * already sent to an endpoint is no longer shed. */
   #admit(
@@ -140,7 +179,8 @@
     { spec, prompt }: ChoiceRequest,
     candidates: readonly Endpoint[],
   ): Choice {
-    const { registry, policy, coldStartLimiter } = this.#options;
+    const { registry, policy, coldStartLimiter, endpointLimiter } =
+      this.#options;
     const serviceEndpoints = registry.serviceEndpoints(spec.name);
     const { endpoint, copyFrom } = policy.select({
       service: spec.name,
@@ -151,6 +191,7 @@
     if (this.#isCold(endpoint)) {
       coldStartLimiter.recordRequest(endpoint.key);
     }
+    endpointLimiter.recordRequest(endpoint.key);
     return { endpoint, copyFrom, candidates: candidates.length };
   }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -28,6 +28,13 @@
   type NoChoice,
   type NoChoiceReason,
 } from "./endpoint_chooser.ts";
+export { EndpointLimiter } from "./endpoint_limiter.ts";
+export type {
+  LimitChange,
+  LimitReport,
+  NamedLimit,
+} from "./endpoint_limits.ts";
+export type { ShareLoan, ShareNeed } from "./share_loans.ts";
 export { DeferredRemovals } from "./deferred_removals.ts";
 export type { EndpointEntry } from "./endpoint_entry.ts";
 export {
--- a/packages/dispatch/src/overload_guard.ts
+++ b/packages/dispatch/src/overload_guard.ts
@@ -70,8 +70,7 @@
     if (candidates.every((endpoint) => waitMs(endpoint) === 0)) {
       return { endpoints: candidates };
     }
-    const isAboveShare = req.account !== undefined &&
-      this.#accounts.isAboveShare(req.service, req.account);
+    const isAboveShare = this.isAboveShare(req.service, req.account);
     const maxWaitMs = this.#maxWaitMs(req, isAboveShare);
     const endpoints = candidates.filter((endpoint) =>
       waitMs(endpoint) <= maxWaitMs
@@ -87,6 +86,13 @@
     return { refusal, waitMs: shortestMs };
   }
 
+  /** Whether the client account has more than its share of the requests in
+   * flight at the service. */
+  isAboveShare(service: string, account: string | undefined): boolean {
+    return account !== undefined &&
+      this.#accounts.isAboveShare(service, account);
+  }
+
   #maxWaitMs(
     { priority, targetLatencyMs, leftMs }: OverloadRequest,
     isAboveShare: boolean,
--- a/packages/dispatch/tests/endpoint_chooser_test.ts
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -8,6 +8,7 @@
   type ChoiceRequest,
   EndpointChooser,
 } from "../src/endpoint_chooser.ts";
+import { EndpointLimiter } from "../src/endpoint_limiter.ts";
 import { EndpointRegistry } from "../src/endpoint_registry.ts";
 import { LoadTracker } from "../src/load_tracker.ts";
 import { OverloadGuard } from "../src/overload_guard.ts";
@@ -20,7 +21,10 @@
 
 /** Creates a chooser over endpoints with the given loads, by id; requests take a
  * second each. */
-function setUp(loadById: Record<string, number>) {
+function setUp(
+  loadById: Record<string, number>,
+  limitById: Record<string, number> = {},
+) {
   const clock = new ManualClock();
   const registry = new EndpointRegistry({ clock });
   const loads = new LoadTracker({ clock });
@@ -30,6 +34,15 @@
     const { key } = registry.put(entry(id, { slots: SLOTS }));
     Array.from({ length: load }, () => loads.begin(key));
   }
+  const endpointLimiter = new EndpointLimiter({
+    clock,
+    nodeId: "n1",
+    nodeIds: () => ["n1"],
+  });
+  for (const [id, requestsPerS] of Object.entries(limitById)) {
+    const { key } = registry.get(id)!;
+    endpointLimiter.limits.recordResponse(key, { requestsPerS, sentMs: 0 });
+  }
   const chooser = new EndpointChooser({
     clock,
     registry,
@@ -40,6 +53,7 @@
       nodeId: "n1",
       nodeIds: () => ["n1"],
     }),
+    endpointLimiter,
     outlierDetector: new OutlierDetector({ clock }),
     overloadGuard: new OverloadGuard({
       loads,
@@ -104,3 +118,45 @@
     );
   });
 });
+
+describe("EndpointChooser before endpoints with limits", () => {
+  before(() => hashingReady);
+
+  it("leaves out an endpoint that has no request left, though it has slots", () => {
+    const { choose } = setUp({ e1: 0, e2: 2 }, { e1: 0 });
+    for (let index = 0; index < 20; index += 1) {
+      expect(choose()).to.equal("e2");
+    }
+  });
+
+  it("does not take the free slots of one at its limit for free", () => {
+    const { choose } = setUp({ e1: 0, e2: 40 }, { e1: 0 });
+    expect(choose({ priority: 2 })).to.equal("overloaded");
+  });
+
+  it("uses what a limit allows, then the others", () => {
+    const { choose } = setUp({ e1: 0, e2: 3 }, { e1: 1 });
+    const chosen = Array.from({ length: 10 }, () => choose());
+    expect(chosen.filter((id) => id === "e1").length).to.equal(4);
+    expect(chosen.filter((id) => id === "e2").length).to.equal(6);
+  });
+
+  it("refuses if all are at their limits, the urgent requests last", () => {
+    const { choose } = setUp({ e1: 0, e2: 0 }, { e1: 8, e2: 8 });
+    const servedBefore = (priority: number) => {
+      let served = 0;
+      while (choose({ priority }) !== "endpoint_limit") {
+        served += 1;
+      }
+      return served;
+    };
+    const served = [2, 1, 0].map(servedBefore);
+    expect(Math.min(...served)).to.be.above(0);
+    expect(choose({ priority: 0 })).to.equal("endpoint_limit");
+  });
+
+  it("refuses a retry too if no endpoint has a request left", () => {
+    const { choose } = setUp({ e1: 0, e2: 0 }, { e1: 0, e2: 0 });
+    expect(choose({}, ["e1/1"])).to.equal("endpoint_limit");
+  });
+});
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,5 +1,10 @@
 /** Communication between nodes: load exchange and shared state from peers. */
-export { LoadExchange, type LoadExchangeOptions } from "./load_exchange.ts";
+export {
+  type LimitHandlers,
+  LoadExchange,
+  type LoadExchangeOptions,
+} from "./load_exchange.ts";
+export type { LimitEntry, LoanEntry, NeedEntry } from "./limit_message.ts";
 export {
   decodeLoadMessage,
   encodeLoadMessage,
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -7,6 +7,14 @@
   splitHostPort,
 } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
+import {
+  decodeLimitMessage,
+  encodeLimitMessage,
+  type LimitEntry,
+  type LimitMessage,
+  type LoanEntry,
+  type NeedEntry,
+} from "./limit_message.ts";
 import { decodeLoadMessage, encodeLoadMessage } from "./load_message.ts";
 import type { Peer, PeerDirectory } from "./peer_directory.ts";
 import {
@@ -16,6 +24,27 @@
 } from "./broadcast_schedule.ts";
 import type { StoreConnectivity } from "./choose_watchers.ts";
 
+/** Changes of limits in one broadcast, including those of the rounds before that
+ * are sent again: more would exceed the traffic of control by far. */
+const MAX_LIMIT_ENTRIES = 32;
+
+/** What nodes exchange about the limits of endpoints. */
+export interface LimitHandlers {
+  /** Takes up to `max` changes of limits. The function that it returns makes the
+   * entries, with ages as of its call. */
+  takeChanges: (max: number) => () => LimitEntry[];
+  /** Returns limits to repeat in this round. */
+  repeated: () => LimitEntry[];
+  /** The endpoints of whose limits this node lacks a share. */
+  needs: () => NeedEntry[];
+  /** Begins and ends loans; returns them by the id of the borrower. */
+  nextLoans: () => ReadonlyMap<string, LoanEntry[]>;
+  onLimits: (limits: readonly LimitEntry[]) => void;
+  onNeeds: (nodeId: string, needs: readonly NeedEntry[]) => void;
+  /** Called with all loans that another node gives to this one. */
+  onLoans: (nodeId: string, loans: readonly LoanEntry[]) => void;
+}
+
 /** Options of {@linkcode LoadExchange}. */
 export interface LoadExchangeOptions {
   clock: Clock;
@@ -48,12 +77,14 @@
   /** Called with another node's crash reports, encoded as in
    * `takeCrashReports`. */
   onCrashReports: (crashReports: readonly string[]) => void;
+  limits: LimitHandlers;
 }
 
-/** Placements and crash reports collected for one broadcast round. */
+/** Placements, crash reports and changes of limits collected for one broadcast round. */
 interface RoundEvents {
   placements: string[];
   encodeCrashReports: () => string[];
+  makeLimits: () => LimitEntry[];
 }
 
 /** The latest broadcast round received from one node, which may have arrived in
@@ -70,6 +101,11 @@
   readonly #options: LoadExchangeOptions;
   readonly #socket: Socket;
   readonly #lastRoundByNode = new Map<string, ReceivedRound>();
+  /** The latest round in which each node has sent loans. */
+  readonly #lastLoanRoundByNode = new Map<
+    string,
+    { incarnation: string; round: number }
+  >();
   #broadcastLoop: RepeatingTask | undefined;
   /** Events of the most recent rounds, sent again in each round. Covers as many
    * rounds as it takes to send to every peer once. */
@@ -117,6 +153,9 @@
     const events = {
       placements: takePlacements(),
       encodeCrashReports: takeCrashReports(),
+      makeLimits: this.#options.limits.takeChanges(
+        Math.max(1, Math.floor(MAX_LIMIT_ENTRIES / rounds)),
+      ),
     };
     this.#recentEvents = [events, ...this.#recentEvents].slice(0, rounds);
     const datagrams = encodeLoadMessage({
@@ -134,10 +173,54 @@
         ...repeatedCrashReports(),
       ],
     });
-    for (const { datagramAddress: address } of this.#nextTargets()) {
-      const { host, port } = splitHostPort(address);
-      datagrams.forEach((data) => this.#socket.send(data, port, host));
+    datagrams.push(...this.#encodeLimits());
+    for (const { datagramAddress } of this.#nextTargets()) {
+      this.#send(datagramAddress, datagrams);
+    }
+    this.#sendLoans();
+  }
+
+  #encodeLimits(): Buffer[] {
+    const { nodeId, incarnation, limits } = this.#options;
+    return encodeLimitMessage({
+      nodeId,
+      incarnation,
+      round: this.#round,
+      limits: [
+        ...this.#recentEvents.flatMap(({ makeLimits }) => makeLimits()),
+        ...limits.repeated(),
+      ],
+      needs: limits.needs(),
+      loans: undefined,
+    });
+  }
+
+  /** Sends loans to their borrowers only, in each round. */
+  #sendLoans(): void {
+    const { nodeId, incarnation, directory, limits } = this.#options;
+    const loansByBorrower = limits.nextLoans();
+    if (loansByBorrower.size === 0) {
+      return;
     }
+    for (const { id, datagramAddress } of directory.peers()) {
+      const loans = loansByBorrower.get(id);
+      if (loans !== undefined) {
+        const datagrams = encodeLimitMessage({
+          nodeId,
+          incarnation,
+          round: this.#round,
+          limits: [],
+          needs: [],
+          loans,
+        });
+        this.#send(datagramAddress, datagrams);
+      }
+    }
+  }
+
+  #send(address: string, datagrams: readonly Buffer[]): void {
+    const { host, port } = splitHostPort(address);
+    datagrams.forEach((data) => this.#socket.send(data, port, host));
   }
 
   #nextTargets(): readonly Peer[] {
@@ -151,6 +234,11 @@
   }
 
   #receive(data: Buffer): void {
+    const limitMessage = decodeLimitMessage(data);
+    if (limitMessage !== undefined) {
+      this.#receiveLimits(limitMessage);
+      return;
+    }
     const message = decodeLoadMessage(data);
     if (message === undefined) {
       return;
@@ -180,4 +268,19 @@
     onPlacements(message.placements);
     onCrashReports(message.crashReports);
   }
+
+  #receiveLimits(
+    { nodeId, incarnation, round, limits, needs, loans }: LimitMessage,
+  ): void {
+    const { limits: handlers } = this.#options;
+    handlers.onLimits(limits);
+    handlers.onNeeds(nodeId, needs);
+    const previous = this.#lastLoanRoundByNode.get(nodeId);
+    const isDelayed = previous?.incarnation === incarnation &&
+      round < previous.round;
+    if (loans !== undefined && !isDelayed) {
+      this.#lastLoanRoundByNode.set(nodeId, { incarnation, round });
+      handlers.onLoans(nodeId, loans);
+    }
+  }
 }
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -29,6 +29,7 @@
 import { decodeCrashReports, encodeCrashReports } from "./crash_reports.ts";
 import { decodeCachedParts, encodeCachedParts } from "./cached_parts.ts";
 import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
+import { makeLimitHandlers } from "./limit_handlers.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
 import { StateSourceSelector } from "./state_source_selector.ts";
 
@@ -301,6 +302,7 @@
         prefixCacheIndex.applyPeerUpdates(decodeCachedParts(placements)),
       onCrashReports: (crashReports) =>
         crashSuspects.applyPeerReports(decodeCrashReports(crashReports)),
+      limits: makeLimitHandlers(this.#node.endpointLimiter),
     });
   }
 
@@ -314,6 +316,8 @@
       metrics.gauge("limpetshed_state_age_seconds", this.#stateAgeMs / 1_000);
     }
     metrics.gauge("limpetshed_nodes", this.#directory.nodeIds().length);
+    const { inForce } = this.#node.endpointLimiter.limits;
+    metrics.gauges("limpetshed_endpoint_limit", "endpoint", inForce);
     const { refusedTraits } = this.#node.crashSuspects;
     metrics.gauge("limpetshed_refused_traits", refusedTraits.length);
     for (const [source, follower] of Object.entries(this.#followers)) {
--- a/packages/fleet_relay/src/placement_recovery.ts
+++ b/packages/fleet_relay/src/placement_recovery.ts
@@ -84,7 +84,11 @@
       cacheIndex: node.prefixCacheIndex,
       fetchFromPeer: () => this.#fetchFromPeer(),
       assignedEndpoints: () => this.#assignedEndpoints(),
-      fetchPartIds: (endpoint) => fetchCachedPartIds(endpoint, { signal }),
+      // An endpoint at its limit starts with no known parts.
+      fetchPartIds: (endpoint) =>
+        node.takeOwnRequest(endpoint)
+          ? fetchCachedPartIds(endpoint, { signal })
+          : Promise.resolve([]),
       onEndpointFailed: (endpoint) => node.recordEndpointFailure(endpoint),
     });
     this.#client.close();
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -48,6 +48,11 @@
     ["reason"],
     "Requests for which no endpoint could be chosen.",
   ),
+  limpetshed_malformed_limits_total: row(
+    "counter",
+    [],
+    "Responses whose endpoint named a limit that is not a valid number.",
+  ),
   limpetshed_copies_total: row(
     "counter",
     [],
@@ -96,6 +101,11 @@
     [],
     "Prompt parts and requests refused because endpoints crashed while running them.",
   ),
+  limpetshed_endpoint_limit: row(
+    "gauge",
+    ["endpoint"],
+    "Requests per second that an endpoint takes from all nodes together; absent while it names no limit.",
+  ),
   limpetshed_nodes: row("gauge", [], "Known nodes, including this one."),
 } as const satisfies Record<string, RelayMetricRow>;
 
@@ -165,6 +175,16 @@
     this.#gauges.get(name)?.set(labels, value);
   }
 
+  /** Replaces all values of a gauge with one label, by the label's value. */
+  gauges(
+    name: RelayMetricName,
+    label: string,
+    values: ReadonlyMap<string, number>,
+  ): void {
+    this.#gauges.get(name)?.reset();
+    values.forEach((value, key) => this.gauge(name, value, { [label]: key }));
+  }
+
   /** Records a duration given in milliseconds; exported in seconds. */
   timing(name: RelayMetricName, ms: number, labels: MetricLabels = {}): void {
     this.#histograms.get(name)?.observe(labels, ms / 1_000);
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -6,8 +6,10 @@
   CrashSuspects,
   type Endpoint,
   EndpointChooser,
+  EndpointLimiter,
   type EndpointPolicy,
   EndpointRegistry,
+  type LimitChange,
   LoadTracker,
   OutlierDetector,
   OverloadGuard,
@@ -16,11 +18,12 @@
   type RetryLimits,
   ServiceLatency,
 } from "@limpetshed/dispatch";
-import type { Logger } from "@limpetshed/observe";
+import { type Logger, LogRateLimiter } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
 import { ConnectionPool } from "./connection_pool.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import { GracefulShutdown, UNREADY_DETECTION_MS } from "./graceful_shutdown.ts";
+import { LimitRecorder } from "./limit_recorder.ts";
 import { LivenessProbe } from "./liveness_probe.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import type { RelayObserver } from "./relay_observer.ts";
@@ -72,6 +75,8 @@
   readonly endpointLoads: LoadTracker;
   readonly prefixCacheIndex: PrefixCacheIndex;
   readonly crashSuspects: CrashSuspects;
+  /** Limits that endpoints name. */
+  readonly endpointLimiter: EndpointLimiter;
   readonly #options: RelayNodeOptions;
   readonly #pool: ConnectionPool;
   readonly #livenessProbe: LivenessProbe;
@@ -79,6 +84,7 @@
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
   readonly #coldStartLimiter: ColdStartLimiter;
+  readonly #limitLogBudget: LogRateLimiter;
   readonly #server: RelayServer;
   readonly #readiness: ReadinessServer;
   readonly #shutdown: GracefulShutdown;
@@ -87,9 +93,17 @@
     this.#options = options;
     const { clock } = options;
     this.#shutdown = new GracefulShutdown({ clock });
+    this.#limitLogBudget = new LogRateLimiter({ clock });
     this.endpointLoads = new LoadTracker({ clock });
     this.prefixCacheIndex = new PrefixCacheIndex({ clock });
     this.crashSuspects = this.#makeCrashSuspects();
+    this.endpointLimiter = new EndpointLimiter({
+      clock,
+      nodeId: options.nodeId,
+      nodeIds: options.nodeIds,
+      onChange: ({ ageMs, ...change }) =>
+        this.#logLimitChange({ ...change, ageMs: Math.round(ageMs) }),
+    });
     this.#pool = new ConnectionPool({ clock });
     this.#livenessProbe = new LivenessProbe({ clock });
     this.#outlierDetector = new OutlierDetector({ clock });
@@ -143,6 +157,16 @@
     this.#outlierDetector.recordConnectionFailure(key);
   }
 
+  /** Whether the limit of an endpoint, if it names one, leaves a request for this
+   * node's own use; counts it. */
+  takeOwnRequest({ key }: Endpoint): boolean {
+    const isAllowed = this.endpointLimiter.allows(key);
+    if (isAllowed) {
+      this.endpointLimiter.recordRequest(key);
+    }
+    return isAllowed;
+  }
+
   /** Starts listening for clients (`front`) and for readiness checks (`ready`),
    * both `ip:port`; returns the actual address for clients. */
   async listen({ front, ready }: {
@@ -213,8 +237,21 @@
     });
   }
 
+  #logLimitChange(change: LimitChange): void {
+    const event = "endpoint_limit";
+    const suppressed = this.#limitLogBudget.tryAcquire(event);
+    if (suppressed !== undefined) {
+      this.#options.logger.info({
+        event,
+        ...change,
+        ...(suppressed === 0 ? {} : { suppressed }),
+      });
+    }
+  }
+
   #makeForwarder(): RequestForwarder {
-    const { clock, format, observer, nodeIds, retryLimits } = this.#options;
+    const { clock, logger, format, observer, nodeIds, retryLimits } =
+      this.#options;
     return new RequestForwarder({
       clock,
       chooser: this.#makeChooser(),
@@ -225,6 +262,11 @@
         probe: this.#livenessProbe,
         isLeaving: (key) => this.#isLeaving(key),
       }),
+      limitRecorder: new LimitRecorder({
+        limiter: this.endpointLimiter,
+        logger,
+        observer,
+      }),
       retryBudget: new RetryBudget({
         clock,
         limits: retryLimits,
@@ -247,6 +289,7 @@
       registry,
       policy: makePolicy({ endpointLoads, prefixCacheIndex, registry }),
       coldStartLimiter: this.#coldStartLimiter,
+      endpointLimiter: this.endpointLimiter,
       outlierDetector: this.#outlierDetector,
       overloadGuard: new OverloadGuard({
         loads: endpointLoads,
@@ -271,6 +314,7 @@
   #removeEndpoint({ key, entry }: Endpoint): void {
     this.#outlierDetector.forget(key);
     this.#coldStartLimiter.forget(key);
+    this.endpointLimiter.forget(key);
     this.endpointLoads.forget(key);
     this.#pool.closeIdle(entry.address);
   }
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -27,6 +27,9 @@
   /** No endpoint could be chosen. */
   abstract noEndpointChosen(request: RelayRequest, reason: NoChoice): void;
 
+  /** An endpoint has named a limit that is not valid. */
+  abstract malformedLimit(): void;
+
   /** A response has been relayed completely. */
   abstract responseCompleted(request: RelayRequest, durationMs: number): void;
 
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -18,6 +18,7 @@
 import type { RouteTable } from "@limpetshed/routing";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { CrashGuard } from "./crash_guard.ts";
+import type { LimitRecorder } from "./limit_recorder.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
@@ -34,6 +35,7 @@
   outlierDetector: OutlierDetector;
   retryBudget: RetryBudget;
   crashGuard: CrashGuard;
+  limitRecorder: LimitRecorder;
   serviceLatency: ServiceLatency;
   accountLoads: AccountLoads;
   pool: ConnectionPool;
@@ -138,6 +140,8 @@
       framer,
       repeatable: isRetryable(request.route),
       clock,
+      onLimit: (limit, options) =>
+        this.#options.limitRecorder.record(endpoint.key, limit, options),
       onUsableHead: (headMs) =>
         this.#options.outlierDetector.recordHeadersTime(endpoint.key, headMs),
       onServerError: () => this.#onServerError(request, endpoint),
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -1,6 +1,11 @@
 import type { Buffer } from "node:buffer";
 import { type Clock, deferred, type Timer } from "@limpetshed/base";
-import type { Endpoint, LoadTracker, SendOutcome } from "@limpetshed/dispatch";
+import type {
+  Endpoint,
+  LoadTracker,
+  NamedLimit,
+  SendOutcome,
+} from "@limpetshed/dispatch";
 import { classifyUnusable } from "./classify_response.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type {
@@ -34,6 +39,13 @@
    * recently used connections. */
   repeatable: boolean;
   clock: Clock;
+  /** Called with what a response to this request says of its endpoint's limit.
+   * `sentMs` is the monotonic time at which the request was sent, `isServed` says
+   * whether the endpoint ran it without an error. */
+  onLimit: (
+    limit: NamedLimit,
+    options: { sentMs: number; isServed: boolean },
+  ) => void;
   /** Called with the time to the head of a usable response, milliseconds. */
   onUsableHead: (headMs: number) => void;
   /** Called on a server error of the endpoint; if it returns true, the request
@@ -54,6 +66,7 @@
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MS = 1_000;
 const REFUSED_CODE = "ECONNREFUSED";
+const FIRST_ERROR_STATUS = 400;
 
 /** Sends a request to one endpoint and relays the response to the client. */
 export class SendAttempt implements ExchangeHandler {
@@ -111,6 +124,15 @@
     if (matchesRequest && metadata.inFlight !== undefined) {
       endpointLoads.recordReportedInFlight(endpoint.key, metadata.inFlight);
     }
+    if (
+      matchesRequest && !metadata.isMisdirected &&
+      (metadata.isSigned || metadata.isNotRun)
+    ) {
+      this.#options.onLimit(metadata.limit, {
+        sentMs: this.#sendStartMs,
+        isServed: !metadata.isNotRun && head.status < FIRST_ERROR_STATUS,
+      });
+    }
     const unusable = classifyUnusable({
       head,
       metadata,
@@ -146,14 +168,17 @@
     { status, headers, rawHeaders }: ResponseHead,
     { isEventStream }: ResponseBody,
   ): void {
-    const { writer, request, clock } = this.#options;
+    const { writer, request, clock, format } = this.#options;
     const dropped = hopByHopHeaders(headers.connection);
     if (isEventStream && writer.supportsChunks) {
       // The stream may be found broken after its last byte, and another endpoint
       // that resumes it may send events of other lengths.
       dropped.add("content-length");
     }
-    const kept = filterHeaders(rawHeaders, (name) => !dropped.has(name));
+    const kept = filterHeaders(
+      rawHeaders,
+      (name) => !dropped.has(name) && !format.isForNodes(name),
+    );
     if (request.route.kind === "safe" && !isEventStream) {
       this.#held = new HeldResponse({ clock, writer, status, headers: kept });
     } else {
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -119,6 +119,10 @@
     }));
   }
 
+  malformedLimit(): void {
+    this.#metrics.count("limpetshed_malformed_limits_total");
+  }
+
   responseCompleted(request: RelayRequest, durationMs: number): void {
     const { kind } = request.route;
     this.#metrics.count("limpetshed_requests_total", {
--- a/packages/relay/src/wire_format.ts
+++ b/packages/relay/src/wire_format.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { PromptInfo } from "@limpetshed/dispatch";
+import type { NamedLimit, PromptInfo } from "@limpetshed/dispatch";
 
 /** Metadata parsed from the headers of a client request. */
 export interface RequestMetadata {
@@ -40,6 +40,8 @@
   isMisdirected: boolean;
   /** Running and queued requests of the endpoint. */
   inFlight: number | undefined;
+  /** What the endpoint says of the requests that it takes. */
+  limit: NamedLimit;
 }
 
 /** Parses and builds the protocol headers; subclasses define their names. */
@@ -58,6 +60,10 @@
    * case. */
   abstract isReplaced(name: string, metadata: SendMetadata): boolean;
 
+  /** Whether the endpoint's header, given in lower case, is for nodes only and
+   * not relayed to the client. */
+  abstract isForNodes(name: string): boolean;
+
   /** Parses the status and headers of an endpoint's response. */
   abstract parseResponse(
     status: number,
--- a/packages/relay/tests/endpoint_limit_test.ts
+++ b/packages/relay/tests/endpoint_limit_test.ts
@@ -80,4 +80,98 @@
     expect(retryAfterS).to.be.above(0);
     expect(retryAfterS).to.be.below(60);
   });
+
+  for (
+    const [name, headers] of [
+      ["to another request", { "x-id": "other", "x-signed": "1" }],
+      ["without a signature", { "x-id": "r0" }],
+    ] as const
+  ) {
+    it(`ignores a limit in a response ${name}`, async () => {
+      await fixture.start((_request, res) => {
+        res.writeHead(200, { ...headers, "x-limit": "0" }).end();
+      });
+      await sendMany(1);
+      expect(fixture.node.endpointLimiter.limits.inForce.size).to.equal(0);
+    });
+  }
+
+  it("ignores a limit of another endpoint at the address", async () => {
+    await fixture.start((request, res) => {
+      res.writeHead(421, {
+        "x-id": request.id,
+        "x-not-run": "1",
+        "x-limit": "0",
+      }).end();
+    });
+    await sendMany(1);
+    expect(fixture.node.endpointLimiter.limits.inForce.size).to.equal(0);
+  });
+
+  it("keeps to a limit that is named in a rejection", async () => {
+    await fixture.start((request, res) => {
+      res.writeHead(503, {
+        "x-id": request.id,
+        "x-not-run": "1",
+        "x-limit": String(LIMIT_PER_S),
+      }).end();
+    });
+    await sendMany();
+    expect(received(0)).to.be.within(1, MAX_REQUESTS);
+  });
+
+  it("keeps the limit of an endpoint whose errors name none", async () => {
+    let count = 0;
+    await fixture.start((request, res) => {
+      count += 1;
+      res.writeHead(count === 1 ? 200 : 404, {
+        "x-id": request.id,
+        "x-signed": "1",
+        ...(count === 1 ? { "x-limit": String(LIMIT_PER_S) } : {}),
+      }).end();
+    });
+    await sendMany();
+    expect(received(0)).to.be.within(1, MAX_REQUESTS);
+  });
+
+  it("ends the limit with a response that names none", async () => {
+    let count = 0;
+    await fixture.start(nameLimit(() => {
+      count += 1;
+      return count === 1 ? String(LIMIT_PER_S) : undefined;
+    }));
+    expect(await sendMany()).to.deep.equal(Array(REQUEST_COUNT).fill(200));
+  });
+
+  it("counts retries and does not pass the header on", async () => {
+    await fixture.start(
+      nameLimit(() => String(LIMIT_PER_S), 500),
+      nameLimit(() => undefined),
+    );
+    for (let index = 0; index < REQUEST_COUNT; index += 1) {
+      const res = await fixture.send("/safe/", { id: `r${index}` });
+      expect(res.headers).to.not.have.property("x-limit");
+    }
+    expect(received(0)).to.be.within(1, MAX_REQUESTS);
+  });
+
+  it("logs when a limit begins, changes and ends", async () => {
+    let count = 0;
+    const values = ["50", "20", undefined];
+    await fixture.start(nameLimit(() => values[count++]));
+    await sendMany(3);
+    const lines = fixture.logLines
+      .map((line) => JSON.parse(line) as Record<string, unknown>)
+      .filter(({ event }) => event === "endpoint_limit");
+    expect(lines.map(({ outcome }) => outcome)).to.deep.equal([
+      "began",
+      "changed",
+      "ended",
+    ]);
+    expect(lines[1]).to.include({
+      endpoint: "e1/1",
+      requestsPerS: 20,
+      source: "endpoint",
+    });
+  });
 });
--- a/packages/relay/tests/test_wire_format.ts
+++ b/packages/relay/tests/test_wire_format.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { PromptInfo } from "@limpetshed/dispatch";
+import type { NamedLimit, PromptInfo } from "@limpetshed/dispatch";
 import {
   type RequestMetadata,
   type ResponseMetadata,
@@ -42,6 +42,10 @@
     ];
   }
 
+  isForNodes(name: string): boolean {
+    return name === "x-limit";
+  }
+
   parseResponse(
     status: number,
     headers: IncomingHttpHeaders,
@@ -52,6 +56,7 @@
       isNotRun: headers["x-not-run"] !== undefined,
       isMisdirected: status === 421,
       inFlight: undefined,
+      limit: parseLimit(singleValue(headers["x-limit"])),
     };
   }
 }
@@ -66,6 +71,12 @@
   };
 }
 
+function parseLimit(value: string | undefined): NamedLimit {
+  return value === undefined
+    ? { state: "none" }
+    : { state: "named", requestsPerS: Number(value) };
+}
+
 function singleValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
