--- a/packages/dispatch/src/endpoint_limiter.ts
+++ b/packages/dispatch/src/endpoint_limiter.ts
@@ -11,6 +11,9 @@
   /** Ids of all nodes that may exist, including this one; a new array after each
    * change. */
   nodeIds: () => readonly string[];
+  /** Time without a message from another node after which what it said last no
+   * longer holds; several intervals between its messages. */
+  peerTimeoutMs: () => number;
   /** Called when a limit begins, changes or ends. */
   onChange?: (change: LimitChange) => void;
 }
@@ -59,14 +62,10 @@
   >();
 
   constructor(options: EndpointLimiterOptions) {
-    const { clock, nodeId, nodeIds, onChange } = options;
+    const { clock, nodeId, peerTimeoutMs, onChange } = options;
     this.#options = options;
     this.limits = new EndpointLimits({ clock, onChange });
-    this.loans = new ShareLoans({
-      clock,
-      nodeId,
-      peerNeedMs: () => peerNeedMs(nodeIds().length),
-    });
+    this.loans = new ShareLoans({ clock, nodeId, peerTimeoutMs });
   }
 
   /** Whether the endpoint with the key `endpoint` names a limit. */
@@ -233,17 +232,3 @@
     );
   }
 }
-
-/** Nodes send each other messages every 200 ms, to 10 others in turn. */
-const MESSAGE_INTERVAL_MS = 200;
-const MESSAGE_FANOUT = 10;
-const MIN_PEER_NEED_MS = 2_000;
-const NEED_INTERVALS = 2;
-
-function peerNeedMs(nodeCount: number): number {
-  const rounds = Math.ceil(nodeCount / MESSAGE_FANOUT);
-  return Math.max(
-    MIN_PEER_NEED_MS,
-    NEED_INTERVALS * rounds * MESSAGE_INTERVAL_MS,
-  );
-}
--- a/packages/dispatch/src/share_loans.ts
+++ b/packages/dispatch/src/share_loans.ts
@@ -89,18 +89,18 @@
   #ended = new Set<string>();
 
   readonly #nodeId: string;
-  readonly #peerNeedMs: () => number;
+  readonly #peerTimeoutMs: () => number;
 
-  constructor({ clock, nodeId, peerNeedMs = () => NEED_MS }: {
+  constructor({ clock, nodeId, peerTimeoutMs }: {
     clock: Clock;
     nodeId: string;
-    /** How long another node counts as in need after it has said so; well over
-     * the interval between two messages from the same node. */
-    peerNeedMs?: () => number;
+    /** Time without a message from another node after which what it said last no
+     * longer holds. */
+    peerTimeoutMs: () => number;
   }) {
     this.#clock = clock;
     this.#nodeId = nodeId;
-    this.#peerNeedMs = peerNeedMs;
+    this.#peerTimeoutMs = peerTimeoutMs;
   }
 
   /** Records that this node lacked a share of the endpoint's limit. */
@@ -142,7 +142,12 @@
   /** Replaces the loans that another node gives to this one. */
   applyLoans(lender: string, loans: readonly ShareLoan[]): void {
     const heardMs = this.#clock.monotonicMs();
-    this.#taken.forEach((byLender) => byLender.delete(lender));
+    for (const [endpoint, byLender] of this.#taken) {
+      byLender.delete(lender);
+      if (byLender.size === 0) {
+        this.#taken.delete(endpoint);
+      }
+    }
     for (const loan of loans) {
       const byLender = this.#taken.get(loan.endpoint) ??
         new Map<string, TakenLoan>();
@@ -315,7 +320,7 @@
   }
 
   #peersInNeed(endpoint: string): string[] {
-    const oldestMs = this.#clock.monotonicMs() - this.#peerNeedMs();
+    const oldestMs = this.#clock.monotonicMs() - this.#peerTimeoutMs();
     return [...this.#peerNeeds.get(endpoint) ?? []]
       .filter(([, { heardMs }]) => heardMs >= oldestMs)
       .map(([nodeId]) => nodeId);
--- a/packages/dispatch/tests/endpoint_chooser_test.ts
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -38,6 +38,7 @@
     clock,
     nodeId: "n1",
     nodeIds: () => ["n1"],
+    peerTimeoutMs: () => 2_000,
   });
   for (const [id, requestsPerS] of Object.entries(limitById)) {
     const { key } = registry.get(id)!;
--- a/packages/dispatch/tests/endpoint_limiter_test.ts
+++ b/packages/dispatch/tests/endpoint_limiter_test.ts
@@ -237,6 +237,7 @@
       clock,
       nodeId: "n1",
       nodeIds: () => ["n1"],
+      peerTimeoutMs: () => 2_000,
     });
     const keys = ["e1", "e2"];
     keys.forEach((key) =>
--- a/packages/dispatch/tests/support/limit_simulation.ts
+++ b/packages/dispatch/tests/support/limit_simulation.ts
@@ -40,6 +40,8 @@
 const FANOUT = 10;
 const RESPONSE_MS = 30;
 const MAX_REPORTS = 3;
+const MIN_PEER_TIMEOUT_MS = 1_500;
+const PEER_TIMEOUT_ROUNDS = 3;
 
 /** Plays the limiters of a fleet before one endpoint that names a limit. */
 export class LimitSimulation {
@@ -143,6 +145,12 @@
         clock: this.clock,
         nodeId: id,
         nodeIds: () => node.nodeIds,
+        peerTimeoutMs: () =>
+          Math.max(
+            MIN_PEER_TIMEOUT_MS,
+            PEER_TIMEOUT_ROUNDS * Math.ceil(node.nodeIds.length / FANOUT) *
+              ROUND_MS,
+          ),
       }),
     };
     return node;
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -193,6 +193,7 @@
       logger,
       nodeId: settings.nodeId,
       nodeIds: () => this.#directory.nodeIds(),
+      peerTimeoutMs: () => this.#directory.livenessTimeoutMs,
       format,
       observer: new TelemetryObserver({
         clock,
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -45,6 +45,9 @@
   nodeId: string;
   /** Ids of all nodes that may be running, including this one. */
   nodeIds: () => readonly string[];
+  /** Time without a message from another node after which what it said last no
+   * longer holds. */
+  peerTimeoutMs: () => number;
   format: WireFormat;
   observer: RelayObserver;
   makePolicy: (dependencies: PolicyDependencies) => EndpointPolicy;
@@ -101,6 +104,7 @@
       clock,
       nodeId: options.nodeId,
       nodeIds: options.nodeIds,
+      peerTimeoutMs: options.peerTimeoutMs,
       onChange: ({ ageMs, ...change }) =>
         this.#logLimitChange({ ...change, ageMs: Math.round(ageMs) }),
     });
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -1,13 +1,7 @@
 import type { Buffer } from "node:buffer";
-import { type Clock, deferred, type Timer } from "@limpetshed/base";
-import type {
-  Endpoint,
-  LoadTracker,
-  NamedLimit,
-  SendOutcome,
-} from "@limpetshed/dispatch";
+import { deferred, type Timer } from "@limpetshed/base";
+import type { SendOutcome } from "@limpetshed/dispatch";
 import { classifyUnusable } from "./classify_response.ts";
-import type { ConnectionPool } from "./connection_pool.ts";
 import type {
   EndpointConnection,
   ExchangeControl,
@@ -16,47 +10,10 @@
 } from "./endpoint_connection.ts";
 import { HeldResponse } from "./held_response.ts";
 import { filterHeaders, hopByHopHeaders } from "./hop_by_hop_headers.ts";
-import type { AbortReason, RelayRequest } from "./relay_request.ts";
+import type { AbortReason } from "./relay_request.ts";
 import { ResponseBody } from "./response_body.ts";
-import type { ResponseWriter } from "./response_writer.ts";
+import type { SendAttemptOptions } from "./send_attempt_options.ts";
 import type { SendResult } from "./send_result.ts";
-import type { SseFramer } from "./sse_framer.ts";
-import type { WireFormat } from "./wire_format.ts";
-
-/** Options of {@linkcode SendAttempt}. */
-export interface SendAttemptOptions {
-  request: RelayRequest;
-  endpoint: Endpoint;
-  /** Endpoint to copy cached parts of the prompt from. */
-  copyFrom: Endpoint | undefined;
-  writer: ResponseWriter;
-  pool: ConnectionPool;
-  endpointLoads: LoadTracker;
-  format: WireFormat;
-  /** Buffers the incomplete last event of a resumable stream. */
-  framer: SseFramer | undefined;
-  /** Whether the request may run twice; if not, the pool hands out only new or
-   * recently used connections. */
-  repeatable: boolean;
-  clock: Clock;
-  /** Called with what a response to this request says of its endpoint's limit.
-   * `sentMs` is the monotonic time at which the request was sent, `isServed` says
-   * whether the endpoint ran it without an error. */
-  onLimit: (
-    limit: NamedLimit,
-    options: { sentMs: number; isServed: boolean },
-  ) => void;
-  /** Called with the time to the head of a usable response, milliseconds. */
-  onUsableHead: (headMs: number) => void;
-  /** Called on a server error of the endpoint; if it returns true, the request
-   * is retried and the response is discarded. */
-  onServerError: () => boolean;
-  /** Called when a response has ended with its connection; resolves to whether
-   * the endpoint is down though it did not say that it leaves. */
-  isEndpointDown: () => Promise<boolean>;
-  /** Called if the body of a response that is not relayed does not end. */
-  onEndlessDiscard: () => void;
-}
 
 /** Longest event of a stream; far above what a few tokens take, and little enough
  * to be buffered for each request. */
--- /dev/null
+++ b/packages/relay/src/send_attempt_options.ts
@@ -0,0 +1,42 @@
+import type { Clock } from "@limpetshed/base";
+import type { Endpoint, LoadTracker, NamedLimit } from "@limpetshed/dispatch";
+import type { ConnectionPool } from "./connection_pool.ts";
+import type { RelayRequest } from "./relay_request.ts";
+import type { ResponseWriter } from "./response_writer.ts";
+import type { SseFramer } from "./sse_framer.ts";
+import type { WireFormat } from "./wire_format.ts";
+
+/** Options of `SendAttempt`. */
+export interface SendAttemptOptions {
+  request: RelayRequest;
+  endpoint: Endpoint;
+  /** Endpoint to copy cached parts of the prompt from. */
+  copyFrom: Endpoint | undefined;
+  writer: ResponseWriter;
+  pool: ConnectionPool;
+  endpointLoads: LoadTracker;
+  format: WireFormat;
+  /** Buffers the incomplete last event of a resumable stream. */
+  framer: SseFramer | undefined;
+  /** Whether the request may run twice; if not, the pool hands out only new or
+   * recently used connections. */
+  repeatable: boolean;
+  clock: Clock;
+  /** Called with what a response to this request says of its endpoint's limit.
+   * `sentMs` is the monotonic time at which the request was sent, `isServed` says
+   * whether the endpoint ran it without an error. */
+  onLimit: (
+    limit: NamedLimit,
+    options: { sentMs: number; isServed: boolean },
+  ) => void;
+  /** Called with the time to the head of a usable response, milliseconds. */
+  onUsableHead: (headMs: number) => void;
+  /** Called on a server error of the endpoint; if it returns true, the request
+   * is retried and the response is discarded. */
+  onServerError: () => boolean;
+  /** Called when a response has ended with its connection; resolves to whether
+   * the endpoint is down though it did not say that it leaves. */
+  isEndpointDown: () => Promise<boolean>;
+  /** Called if the body of a response that is not relayed does not end. */
+  onEndlessDiscard: () => void;
+}
--- a/packages/relay/tests/limit_recorder_test.ts
+++ b/packages/relay/tests/limit_recorder_test.ts
@@ -18,6 +18,7 @@
       clock,
       nodeId: "n1",
       nodeIds: () => ["n1"],
+      peerTimeoutMs: () => 2_000,
     });
     const recorder = new LimitRecorder({
       limiter,
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -110,6 +110,7 @@
       logger,
       nodeId: "n1",
       nodeIds: () => ["n1"],
+      peerTimeoutMs: () => 2_000,
       format: new TestWireFormat(),
       observer: new TelemetryObserver({
         clock,
