--- a/packages/dispatch/tests/crash_evidence_under_load_test.ts
+++ b/packages/dispatch/tests/crash_evidence_under_load_test.ts
@@ -28,6 +28,7 @@
       firstNodeShare: 0.8,
       datagramLoss: 0.3,
     }],
+    [" while endpoints lose power", { powerCutIntervalMs: 6_000 }],
   ];
   for (const kind of ["part", "request"] as const) {
     for (const [circumstance, options] of cases) {
--- a/packages/dispatch/tests/support/crash_simulation.ts
+++ b/packages/dispatch/tests/support/crash_simulation.ts
@@ -23,6 +23,8 @@
   firstNodeShare?: number;
   /** Interval at which one node restarts; none if undefined. */
   restartIntervalMs?: number;
+  /** Interval at which a third of the endpoints lose power; none if undefined. */
+  powerCutIntervalMs?: number;
 }
 
 /** Result of one simulation. */
@@ -121,6 +123,7 @@
       datagramLoss: 0,
       firstNodeShare: 0,
       restartIntervalMs: Number.POSITIVE_INFINITY,
+      powerCutIntervalMs: Number.POSITIVE_INFINITY,
       ...options,
     };
     this.#rng = new Rng(options.seed);
@@ -141,8 +144,9 @@
   }
 
   async run(): Promise<CrashSimulationResult> {
-    const { durationMs, restartIntervalMs } = this.#options;
+    const { durationMs, restartIntervalMs, powerCutIntervalMs } = this.#options;
     let nextRestartMs = restartIntervalMs;
+    let nextPowerCutMs = powerCutIntervalMs;
     let nextBadMs = 5_000;
     for (let now = 0; now < durationMs; now += TICK_MS) {
       await this.#clock.advance(TICK_MS);
@@ -153,6 +157,10 @@
       if (now % ROUND_MS === 0) {
         this.#exchange();
       }
+      if (now >= nextPowerCutMs) {
+        nextPowerCutMs += powerCutIntervalMs;
+        this.#cutPower(now);
+      }
       this.#endRequests(now);
       if (now >= nextBadMs) {
         nextBadMs += BAD_INTERVAL_MS;
@@ -255,8 +263,11 @@
     for (const [index, endpoint] of this.#endpoints.entries()) {
       const due = [...endpoint.running].filter(({ endMs }) => endMs <= now);
       if (due.some(({ isBad }) => isBad)) {
-        this.#crash(endpoint, now);
-        this.#endpoints[index] = this.#makeEndpoint(now + REPLACEMENT_MS);
+        this.#result.crashes += 1;
+        if (this.#result.crashes === 3) {
+          this.#thirdCrashMs = now;
+        }
+        this.#loseEndpoint(index, now);
         continue;
       }
       for (const request of due) {
@@ -270,11 +281,17 @@
     }
   }
 
-  #crash({ key, running }: SimulatedEndpoint, now: number): void {
-    this.#result.crashes += 1;
-    if (this.#result.crashes === 3) {
-      this.#thirdCrashMs = now;
+  /** Ends a third of the endpoints at once. */
+  #cutPower(now: number): void {
+    for (let index = 0; index < this.#endpoints.length; index += 3) {
+      this.#loseEndpoint(index, now);
     }
+  }
+
+  /** Ends an endpoint with all its requests; another one takes its place. */
+  #loseEndpoint(index: number, now: number): void {
+    const { key, running } = this.#endpoints[index]!;
+    this.#endpoints[index] = this.#makeEndpoint(now + REPLACEMENT_MS);
     const losing = new Set<SimulatedNode>();
     for (const request of this.#rng.shuffle([...running])) {
       const { node, traits, trials, sentMs, isBad, isRetry } = request;
--- a/packages/relay/tests/crash_detection_test.ts
+++ b/packages/relay/tests/crash_detection_test.ts
@@ -136,6 +136,40 @@
     await expectRefusedAfterTwo();
   });
 
+  it("is found if the deadline passes before the endpoint crashes", async () => {
+    const silent: number[] = [];
+    await start((index) => silent.push(index));
+    for (const id of ["b1", "b2"]) {
+      await fixture.send("/unsafe/", {
+        id,
+        body: BAD_BODY,
+        headers: { "x-left": String(SETTLE_MS) },
+      });
+      const endpoint = fixture.node.registry.get(`e${silent.at(-1)! + 1}`)!;
+      fixture.node.crashSuspects.recordEndpointDown(endpoint.key);
+      fixture.node.registry.delete(endpoint.entry.id);
+    }
+    await expectRefusedAfterTwo();
+  });
+
+  it("is found if another endpoint answers at the address", async () => {
+    await start((index, socket) => {
+      socket.destroy();
+      const endpoint = fixture.endpoints[index]!;
+      endpoint.handler = (req, res) => {
+        res.writeHead(421, { "x-id": req.id }).end();
+      };
+    });
+    await sendBad("b1");
+    await sendBad("b2");
+    // Requests come back to the two once they are no longer avoided.
+    for (let index = 0; index < ENDPOINT_COUNT * 20; index += 1) {
+      await fixture.send("/safe/", { id: `s${index}` });
+      await sleep(clock, SETTLE_MS / 3);
+    }
+    await expectRefusedAfterTwo();
+  });
+
   it("does not count endpoints that end after they said that they leave", async () => {
     await start((index) => {
       const { entry } = fixture.node.registry.get(`e${index + 1}`)!;
--- a/scripts/simulate_crashes.js
+++ b/scripts/simulate_crashes.js
@@ -20,6 +20,8 @@
     firstNodeShare: 0.8,
     datagramLoss: 0.3,
   },
+  "4 nodes, power cuts": { powerCutIntervalMs: 6_000 },
+  "4 nodes, 150 s, with trials": { durationMs: 150_000 },
   "20 nodes": { nodes: 20 },
   "100 nodes": { nodes: 100 },
   "100 nodes, losses and restarts": {
