--- a/packages/relay/tests/endpoint_limit_test.ts
+++ b/packages/relay/tests/endpoint_limit_test.ts
@@ -155,6 +155,38 @@
     expect(received(0)).to.be.within(1, MAX_REQUESTS);
   });
 
+  it("counts what the node sends by itself", async () => {
+    await fixture.start(nameLimit(() => String(LIMIT_PER_S)));
+    await sendMany(1);
+    const endpoint = fixture.node.registry.get("e1")!;
+    const taken = Array.from(
+      { length: REQUEST_COUNT },
+      () => fixture.node.takeOwnRequest(endpoint),
+    );
+    expect(taken.filter(Boolean).length).to.be.within(1, MAX_REQUESTS);
+    expect(await sendMany(1)).to.deep.equal([NOT_RUN_STATUS]);
+  });
+
+  it("counts resumptions of streams", async () => {
+    await fixture.start(
+      nameLimit(() => String(LIMIT_PER_S)),
+      (request, res, socket) => {
+        res.writeHead(200, {
+          "x-id": request.id,
+          "x-signed": "1",
+          "content-type": "text/event-stream",
+        });
+        res.write("id: 1\ndata: 1\n\n", () => socket.resetAndDestroy());
+      },
+    );
+    for (let index = 0; index < REQUEST_COUNT; index += 1) {
+      await fixture.send("/resume/", { id: `r${index}` }).catch(() =>
+        undefined
+      );
+    }
+    expect(received(0)).to.be.within(1, MAX_REQUESTS);
+  });
+
   it("logs when a limit begins, changes and ends", async () => {
     let count = 0;
     const values = ["50", "20", undefined];
