fix(dispatch): ask for shares of limits only when a request is refused

Now a node asks for one endpoint, a different one each time, when it refuses a request.

Test added; it fails on the code before, which asks at once.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -81,6 +81,7 @@
  * cold-start and named limits, outliers and overload, then applies the policy. */
 export class EndpointChooser {
   readonly #options: EndpointChooserOptions;
+  #needRotation = 0;
 
   constructor(options: EndpointChooserOptions) {
     this.#options = options;
@@ -89,13 +90,28 @@
   /** Chooses an endpoint; a request to a cold one counts against its limit. */
   choose(req: ChoiceRequest): Choice {
     const candidates = this.#candidates(req);
-    if ("refusal" in candidates) {
-      return candidates;
+    const admission = "refusal" in candidates
+      ? candidates
+      : this.#admit(req, candidates);
+    if ("refusal" in admission) {
+      this.#recordNeed(req);
+      return admission;
+    }
+    return this.#select(req, admission.endpoints);
+  }
+
+  /** Asks other nodes for a share of one limited endpoint, a different one each
+   * time, that could have taken a request that is refused. */
+  #recordNeed({ spec, tried }: ChoiceRequest): void {
+    const { registry, endpointLimiter } = this.#options;
+    const denied = registry.usable(spec.name).filter(({ key }) =>
+      !tried.has(key) && !endpointLimiter.allows(key)
+    );
+    if (denied.length > 0) {
+      this.#needRotation += 1;
+      const { key } = denied[this.#needRotation % denied.length]!;
+      endpointLimiter.recordDenied(key);
     }
-    const admission = this.#admit(req, candidates);
-    return "refusal" in admission
-      ? admission
-      : this.#select(req, admission.endpoints);
   }
 
   /** Endpoints that the request may be sent to, or why there are none. */
@@ -142,8 +158,6 @@
       return endpoints;
     }
     const allowed = endpoints.filter(({ key }) => endpointLimiter.allows(key));
-    limited.filter((endpoint) => !allowed.includes(endpoint))
-      .forEach(({ key }) => endpointLimiter.recordDenied(key));
     if (limited.length < endpoints.length) {
       return allowed;
     }
--- a/packages/dispatch/tests/endpoint_chooser_test.ts
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -81,7 +81,7 @@
     });
     return "refusal" in choice ? choice.refusal : choice.endpoint.entry.id;
   };
-  return { choose };
+  return { choose, endpointLimiter };
 }
 
 describe("EndpointChooser under overload", () => {
@@ -156,6 +156,18 @@
     expect(choose({ priority: 0 })).to.equal("endpoint_limit");
   });
 
+  // Loans that nobody needed took most of the traffic between nodes.
+  it("asks other nodes for a share only if a request is refused", () => {
+    const free = setUp({ e1: 0, e2: 0 }, { e1: 0 });
+    free.choose();
+    expect(free.endpointLimiter.needs()).to.deep.equal([]);
+    const full = setUp({ e1: 0, e2: 40, e3: 0 }, { e1: 0, e3: 0 });
+    full.choose();
+    expect(full.endpointLimiter.needs().length).to.equal(1);
+    full.choose();
+    expect(full.endpointLimiter.needs().length).to.equal(2);
+  });
+
   it("refuses a retry too if no endpoint has a request left", () => {
     const { choose } = setUp({ e1: 0, e2: 0 }, { e1: 0, e2: 0 });
     expect(choose({}, ["e1/1"])).to.equal("endpoint_limit");
