fix(dispatch): keep prompt parts where they are while endpoints name limits

Cause: the load bound of an endpoint is a multiple of the mean of its service. Limited endpoints have little load, so that the others exceeded the bound at once and their parts were copied away; and each node placed parts at other endpoints, those of whose limits it has a share.

Three tests, two of which fail on the code before.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -201,6 +201,7 @@
       prompt,
       serviceEndpoints,
       candidates,
+      isLimited: (key) => endpointLimiter.isLimited(key),
     });
     if (this.#isCold(endpoint)) {
       coldStartLimiter.recordRequest(endpoint.key);
--- a/packages/dispatch/src/share_loans.ts
+++ b/packages/dispatch/src/share_loans.ts
@@ -167,8 +167,9 @@
   /** What this node has borrowed less what it has lent of an endpoint's limit. */
   balance(endpoint: string): { rateFraction: number; burst: number } {
     const balance = { rateFraction: 0, burst: 0 };
+    const taken = this.#taken.get(endpoint);
     const oldestMs = this.#clock.monotonicMs() - LOAN_MS;
-    for (const { loan, heardMs } of this.#taken.get(endpoint)?.values() ?? []) {
+    for (const { loan, heardMs } of taken?.values() ?? []) {
       if (heardMs > oldestMs) {
         balance.rateFraction += loan.rateFraction;
         balance.burst += loan.burst;
@@ -257,8 +258,8 @@
     }
   }
 
-  /** The node in need whose last turn was longest ago; undefined if it is this
-   * one or if nothing is to be lent. */
+  /** The node to lend the share to; undefined if this node keeps it. A scarce share
+   * goes round among all nodes in need, this one included. */
   #nextBorrower(
     share: LendableShare,
     needing: readonly string[],
--- a/packages/dispatch/tests/prefix_policy_test.ts
+++ b/packages/dispatch/tests/prefix_policy_test.ts
@@ -205,3 +205,63 @@
     expect(new Set(endpointKeys).size).to.equal(4);
   });
 });
+
+describe("PrefixPolicy before endpoints with limits", () => {
+  before(() => hashingReady);
+
+  // Each node has a share of other limited endpoints, so that parts were copied to
+  // all of them.
+  it("places parts that no candidate caches at endpoints without limits", () => {
+    const { registry, nodes } = createFleet(6, 2);
+    const endpoints = registry.usable("model");
+    const limited = new Set(endpoints.slice(0, 4).map(({ key }) => key));
+    const texts = Array.from({ length: 40 }, (_, index) => `t${index}`);
+    const chosen = nodes.map(({ policy }, node) =>
+      texts.map((text) =>
+        policy.select({
+          service: "model",
+          prompt: prompt(text),
+          serviceEndpoints: endpoints,
+          // The nodes have shares of different ones.
+          candidates: endpoints.filter((_, index) => index !== node),
+          isLimited: (key) => limited.has(key),
+        }).endpoint.key
+      )
+    );
+    expect(chosen[0]).to.deep.equal(chosen[1]);
+    expect(chosen[0]!.some((key) => limited.has(key))).to.equal(false);
+  });
+
+  it("uses what an endpoint with a limit caches", () => {
+    const { registry, first } = createFleet(4);
+    const endpoints = registry.usable("model");
+    const holder = endpoints[0]!;
+    first.cacheIndex.recordCached({ partId: "t1", endpoint: holder.key });
+    const { endpoint } = first.policy.select({
+      service: "model",
+      prompt: prompt("t1"),
+      serviceEndpoints: endpoints,
+      candidates: endpoints,
+      isLimited: (key) => key === holder.key,
+    });
+    expect(endpoint.key).to.equal(holder.key);
+  });
+
+  // The low load of endpoints at their limits made the others look overloaded, so
+  // that their parts were copied away from them.
+  it("bounds the load by that of endpoints without limits", () => {
+    const { registry, first } = createFleet(4);
+    const endpoints = registry.usable("model");
+    const holder = endpoints[3]!;
+    first.cacheIndex.recordCached({ partId: "t1", endpoint: holder.key });
+    Array.from({ length: 20 }, () => first.loads.begin(holder.key));
+    const { endpoint } = first.policy.select({
+      service: "model",
+      prompt: prompt("t1"),
+      serviceEndpoints: endpoints,
+      candidates: endpoints,
+      isLimited: (key) => key !== holder.key,
+    });
+    expect(endpoint.key).to.equal(holder.key);
+  });
+});
