Revert "fix(dispatch): keep prompt parts where they are while endpoints name limits"

With 34 nodes each has shares of few limited endpoints, which new parts then do not use, and the others are overloaded.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -201,7 +201,6 @@
       prompt,
       serviceEndpoints,
       candidates,
-      isLimited: (key) => endpointLimiter.isLimited(key),
     });
     if (this.#isCold(endpoint)) {
       coldStartLimiter.recordRequest(endpoint.key);
--- a/packages/dispatch/src/endpoint_policy.ts
+++ b/packages/dispatch/src/endpoint_policy.ts
@@ -12,9 +12,6 @@
   serviceEndpoints: readonly Endpoint[];
   /** Endpoints that the request may be sent to; never empty. */
   candidates: readonly Endpoint[];
-  /** Whether the endpoint with this key takes only a limited rate of requests;
-   * none does by default. */
-  isLimited?: (endpointKey: string) => boolean;
 }
 
 /** The endpoint that an {@linkcode EndpointPolicy} selected. */
--- a/packages/dispatch/src/prefix_policy.ts
+++ b/packages/dispatch/src/prefix_policy.ts
@@ -55,20 +55,19 @@
   }
 
   select(req: SelectionRequest): Selection {
-    const { prompt, candidates, isLimited = () => false } = req;
+    const { prompt, candidates } = req;
     const shared = prompt === undefined ? undefined : lastSharedPart(prompt);
     if (shared === undefined) {
       return { endpoint: this.#leastLoadedNearby(candidates) };
     }
     const { cacheIndex } = this.#options;
     const holderKeys = cacheIndex.endpointsCaching(shared.id);
-    const meanLoad = this.#meanLoadWithoutLimits(req);
+    const meanLoad = this.meanLoad(req.serviceEndpoints);
     const endpoint =
       this.#leastLoadedHolder(candidates, { holderKeys, meanLoad }) ??
         this.#firstRankedWithinBound(candidates, {
           partId: shared.id,
           meanLoad,
-          isLimited,
         });
     const copyFrom = holderKeys.has(endpoint.key) ||
         sharedTokenCount(prompt!) < MIN_COPY_TOKENS
@@ -78,15 +77,6 @@
     return { endpoint, copyFrom };
   }
 
-  /** Mean load of the endpoints without a limit, or of all if each has one. Those
-   * with limits have little load whatever the others could take. */
-  #meanLoadWithoutLimits(
-    { serviceEndpoints, isLimited = () => false }: SelectionRequest,
-  ): number {
-    const unlimited = serviceEndpoints.filter(({ key }) => !isLimited(key));
-    return this.meanLoad(unlimited.length > 0 ? unlimited : serviceEndpoints);
-  }
-
   /** The least loaded of the holders, the endpoints that cache the shared part,
    * within the load bound. Holders with `BUSY_SLOT_FRACTION` or more of their
    * slots in use are excluded, unless that is true of every candidate. */
@@ -114,20 +104,14 @@
   }
 
   /** Chooses by rendezvous hashing: nodes that see the same loads choose the
-   * same endpoint. Endpoints with a limit come last: each node has a share of
-   * others, so that a part would be scattered over all of them. */
+   * same endpoint. */
   #firstRankedWithinBound(
     candidates: readonly Endpoint[],
-    { partId, meanLoad, isLimited }: {
-      partId: string;
-      meanLoad: number;
-      isLimited: (endpointKey: string) => boolean;
-    },
+    { partId, meanLoad }: { partId: string; meanLoad: number },
   ): Endpoint {
     const bound = UNCACHED_LOAD_MULTIPLE * meanLoad + 1;
-    const withinBound = rankEndpoints(partId, candidates)
-      .filter(({ key }) => this.loads.totalInFlight(key) <= bound);
-    return withinBound.find(({ key }) => !isLimited(key)) ?? withinBound[0] ??
+    return rankEndpoints(partId, candidates)
+      .find(({ key }) => this.loads.totalInFlight(key) <= bound) ??
       this.leastLoaded(candidates);
   }
 
--- a/packages/dispatch/src/share_loans.ts
+++ b/packages/dispatch/src/share_loans.ts
@@ -167,9 +167,8 @@
   /** What this node has borrowed less what it has lent of an endpoint's limit. */
   balance(endpoint: string): { rateFraction: number; burst: number } {
     const balance = { rateFraction: 0, burst: 0 };
-    const taken = this.#taken.get(endpoint);
     const oldestMs = this.#clock.monotonicMs() - LOAN_MS;
-    for (const { loan, heardMs } of taken?.values() ?? []) {
+    for (const { loan, heardMs } of this.#taken.get(endpoint)?.values() ?? []) {
       if (heardMs > oldestMs) {
         balance.rateFraction += loan.rateFraction;
         balance.burst += loan.burst;
@@ -258,8 +257,8 @@
     }
   }
 
-  /** The node to lend the share to; undefined if this node keeps it. A scarce share
-   * goes round among all nodes in need, this one included. */
+  /** The node in need whose last turn was longest ago; undefined if it is this
+   * one or if nothing is to be lent. */
   #nextBorrower(
     share: LendableShare,
     needing: readonly string[],
