--- a/packages/dispatch/src/share_loans.ts
+++ b/packages/dispatch/src/share_loans.ts
@@ -257,8 +257,8 @@
     }
   }
 
-  /** The node in need whose last turn was longest ago; undefined if it is this
-   * one or if nothing is to be lent. */
+  /** The node to lend the share to; undefined if this node keeps it. A scarce share
+   * goes round among all nodes in need, this one included. */
   #nextBorrower(
     share: LendableShare,
     needing: readonly string[],
