--- a/packages/fleet/tests/limit_message_test.ts
+++ b/packages/fleet/tests/limit_message_test.ts
@@ -12,7 +12,7 @@
 } from "../src/limit_message.ts";
 import { decodeLoadMessage } from "../src/load_message.ts";
 
-const KEY = "i-af164ce1c9/1791239589638";
+const KEY = "endpoint-1234567/1791239589638";
 const MAX_DATAGRAM_BYTES = 1_200;
 
 function message(fields: Partial<LimitMessage> = {}): LimitMessage {
