--- a/packages/fleet/src/limit_message.ts
+++ b/packages/fleet/src/limit_message.ts
@@ -38,9 +38,9 @@
   loans: readonly LoanEntry[] | undefined;
 }
 
-/** Entries of each list in one datagram: 12 of some 70 bytes stay below 1,200 bytes
+/** Entries of each list in one datagram: 10 of some 70 bytes stay below 1,200 bytes
  * together with as many keys. */
-const MAX_ENTRIES = 12;
+const MAX_ENTRIES = 10;
 /** Tells these datagrams from load messages, which begin with a node's id. */
 const MARKER = 1;
 
