feat(relay): log software versions of endpoints and resumptions of clients

The version in the entry of an endpoint and the clients' `Resumes` are now decoded and stand in the lines of sends and endpoints. No decision depends on them yet.

--- a/packages/dispatch/src/endpoint_entry.ts
+++ b/packages/dispatch/src/endpoint_entry.ts
@@ -15,4 +15,7 @@
   coldMs: number;
   /** Start time, to tell restarts apart; 0 if not published. */
   startedMs: number;
+  /** Version of the endpoint's software, not of its model's weights; undefined
+   * if not published. */
+  softwareVersion?: string;
 }
--- a/packages/relay/src/relay_request.ts
+++ b/packages/relay/src/relay_request.ts
@@ -34,6 +34,11 @@
   prompt: PromptInfo | undefined;
   /** What the prompt has in common with others and may crash endpoints. */
   promptTraits: readonly string[];
+  /** Whether the client resumes a stream. */
+  isResumption: boolean;
+  /** Id of the client's attempt that received the first event of the stream that
+   * it resumes, if it names one. */
+  resumedRequestId: string | undefined;
   /** Hash that is identical for all retries of the request, also on other
    * nodes; computed on first use. */
   fingerprint: () => string;
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -204,6 +204,8 @@
       priority: account?.priority ?? route.priority,
       prompt: metadata.prompt,
       promptTraits: promptTraits(service, metadata.prompt),
+      isResumption: isResumption(metadata, route),
+      resumedRequestId: metadata.resumedRequestId,
       fingerprint: lazyFingerprint({
         account: account?.name,
         path: req.url ?? "/",
@@ -239,6 +241,16 @@
   }
 }
 
+/** A client that names only one of the two ids resumes a stream as well: it has
+ * received some of it. */
+function isResumption(
+  { lastEventId, resumedRequestId }: RequestMetadata,
+  { kind }: Route,
+): boolean {
+  return kind === "stream" &&
+    (lastEventId !== undefined || resumedRequestId !== undefined);
+}
+
 function notReadyError(uptimeMs: number): RouterError {
   return new RouterError("node_not_ready", "no configuration is known yet", {
     retryAfterMs: Math.min(
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -67,6 +67,10 @@
       service: request.service,
       endpointId: endpoint.entry.id,
       availabilityZone: endpoint.entry.availabilityZone,
+      softwareVersion: endpoint.entry.softwareVersion,
+      resumes: request.isResumption
+        ? loggableId(request.resumedRequestId ?? "(not named)")
+        : undefined,
       copyFrom: copyFrom?.entry.id,
       load,
       candidates,
--- a/packages/relay/src/wire_format.ts
+++ b/packages/relay/src/wire_format.ts
@@ -10,6 +10,11 @@
   /** API key of the client account. */
   apiKey: string | undefined;
   prompt: PromptInfo | undefined;
+  /** Id of the last event that the client has of a stream that it resumes. */
+  lastEventId: string | undefined;
+  /** Id of the client's attempt that received the first event of a stream that
+   * it resumes. */
+  resumedRequestId: string | undefined;
 }
 
 /** Metadata that this node adds to a request to an endpoint. */
--- a/packages/relay/tests/test_wire_format.ts
+++ b/packages/relay/tests/test_wire_format.ts
@@ -16,6 +16,8 @@
       clientTimeoutMs: timeout === undefined ? undefined : Number(timeout),
       apiKey: singleValue(headers.authorization),
       prompt: parsePrompt(singleValue(headers["x-parts"])),
+      lastEventId: singleValue(headers["last-event-id"]),
+      resumedRequestId: singleValue(headers["x-resumes"]),
     };
   }
 
