fix(relay): let streams go on only at the software version that began them

Cause: the version of an endpoint was not decoded, `Resumes` was not read, and every way on went to any endpoint of the service.

A node now remembers at which version it began each resumable stream, under the client's account and attempt. The resumption within a response and resumptions by clients choose among endpoints of that version, endpoints whose entries were removed included. A stream whose version has no endpoint breaks off at once; a resumption is rejected with 503 and Retry-After: 5. A stream that is not known goes on only if the services of its route have had one version, in a view that the store has confirmed since the request arrived; otherwise its resumption is rejected. It also stays at the service that began it on a route with several.

Takes-up at another node of a stream that this node does not know are rejected while versions are mixed.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -12,6 +12,7 @@
   OverloadRequest,
 } from "./overload_guard.ts";
 import type { PromptInfo } from "./prompt_info.ts";
+import type { ServiceVersions } from "./service_versions.ts";
 
 /** Why no endpoint is available for a request. */
 export type NoChoiceReason =
@@ -25,6 +26,9 @@
   | "endpoint_limit"
   /** This node may not open more connections to the remaining endpoints. */
   | "connection_limit"
+  /** The request has to go on at a software version that no usable endpoint
+   * has. */
+  | "version_gone"
   /** Several endpoints went down while executing the request. */
   | "crash_suspect"
   | OverloadRefusal;
@@ -55,6 +59,8 @@
   prompt: PromptInfo | undefined;
   /** Keys of endpoints that were already tried for the request. */
   tried: ReadonlySet<string>;
+  /** Software version at which the request has to go on, if it has begun. */
+  version?: string;
   /** Properties of the request that the overload guard uses. */
   overloadInput: Pick<
     OverloadRequest,
@@ -71,6 +77,7 @@
   endpointLimiter: EndpointLimiter;
   outlierDetector: OutlierDetector;
   overloadGuard: OverloadGuard;
+  versions: ServiceVersions;
   /** Whether this node may open no more connections to the address. True even
    * if there are idle connections, since a request may still need a new
    * one. */
@@ -102,10 +109,10 @@
 
   /** Asks other nodes for a share of one limited endpoint, a different one each
    * time, that could have taken a request that is refused. */
-  #recordNeed({ spec, tried }: ChoiceRequest): void {
-    const { registry, endpointLimiter } = this.#options;
-    const denied = registry.usable(spec.name).filter(({ key }) =>
-      !tried.has(key) && !endpointLimiter.allows(key)
+  #recordNeed(req: ChoiceRequest): void {
+    const { endpointLimiter } = this.#options;
+    const denied = this.#usable(req).filter(({ key }) =>
+      !req.tried.has(key) && !endpointLimiter.allows(key)
     );
     if (denied.length > 0) {
       this.#needRotation += 1;
@@ -116,11 +123,12 @@
 
   /** Endpoints that the request may be sent to, or why there are none. */
   #candidates(req: ChoiceRequest): Endpoint[] | NoChoice {
-    const { spec, tried } = req;
-    const { registry } = this.#options;
-    const usable = registry.usable(spec.name);
+    const { spec, tried, version } = req;
+    const usable = this.#usable(req);
     if (usable.length === 0) {
-      return { refusal: "none_in_service" };
+      const isGone = version !== undefined &&
+        this.#options.registry.usable(spec.name).length > 0;
+      return { refusal: isGone ? "version_gone" : "none_in_service" };
     }
     const untried = usable.filter(({ key }) => !tried.has(key));
     if (untried.length === 0) {
@@ -144,6 +152,14 @@
       : candidates;
   }
 
+  #usable({ spec: { name }, version }: ChoiceRequest): readonly Endpoint[] {
+    const { registry, versions } = this.#options;
+    return version === undefined ? registry.usable(name) : registry.usableWhere(
+      name,
+      (endpoint) => versions.versionOf(endpoint) === version,
+    );
+  }
+
   /** Excludes endpoints whose limits leave this node no request. If all others
    * have limits too, the last requests are for the urgent ones. */
   #filterWithinLimits(
--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -63,6 +63,12 @@
     const known = this.#byId.get(entry.id);
     const key = `${entry.id}/${entry.startedMs}`;
     const coldUntilMs = entry.coldMs > 0 ? now + entry.coldMs : 0;
+    const isSameVersion = known?.entry.softwareVersion ===
+      entry.softwareVersion;
+    if (known?.key === key && !isSameVersion) {
+      // Its entry names no start time that tells this from the last incarnation.
+      this.#options.onRemove?.(known, "gone");
+    }
     if (known !== undefined && known.key !== key) {
       this.#byKey.delete(known.key);
       if (known.entry.state === "ready") {
@@ -70,7 +76,7 @@
       }
       this.#options.onRemove?.(known, "restarted");
     }
-    const isSameIncarnation = known?.key === key;
+    const isSameIncarnation = known?.key === key && isSameVersion;
     const endpoint: Endpoint = {
       key,
       entry,
@@ -139,6 +145,13 @@
     return this.#restartedKeys.has(key);
   }
 
+  /** The entries of all endpoints. */
+  *entries(): IterableIterator<EndpointEntry> {
+    for (const { entry } of this.#byId.values()) {
+      yield entry;
+    }
+  }
+
   /** All endpoints of a service, sorted by key. */
   serviceEndpoints(service: string): readonly Endpoint[] {
     let endpoints = this.#endpointsByService.get(service);
@@ -156,15 +169,23 @@
   usable(service: string): readonly Endpoint[] {
     let usable = this.#usableByService.get(service);
     if (usable === undefined) {
-      const ready = this.serviceEndpoints(service)
-        .filter((endpoint) => this.isUsable(endpoint));
-      const preferred = ready.filter(({ isLastResort }) => !isLastResort);
-      usable = preferred.length > 0 ? preferred : ready;
+      usable = this.usableWhere(service, () => true);
       this.#usableByService.set(service, usable);
     }
     return usable;
   }
 
+  /** As `usable`, of those endpoints that are eligible. */
+  usableWhere(
+    service: string,
+    isEligible: (endpoint: Endpoint) => boolean,
+  ): readonly Endpoint[] {
+    const ready = this.serviceEndpoints(service)
+      .filter((endpoint) => this.isUsable(endpoint) && isEligible(endpoint));
+    const preferred = ready.filter(({ isLastResort }) => !isLastResort);
+    return preferred.length > 0 ? preferred : ready;
+  }
+
   /** Whether `endpoint` is the current incarnation and accepts new requests. */
   isUsable(endpoint: Endpoint): boolean {
     const known = this.#byId.get(endpoint.entry.id);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -63,6 +63,14 @@
 export { ServiceLatency } from "./service_latency.ts";
 export { PrefixPolicy, type PrefixPolicyOptions } from "./prefix_policy.ts";
 export type { PromptInfo, PromptPart } from "./prompt_info.ts";
+export { ServiceVersions } from "./service_versions.ts";
+export {
+  STREAM_RETENTION_MS,
+  type StreamGroup,
+  streamKey,
+  type StreamOrigin,
+  StreamOrigins,
+} from "./stream_origins.ts";
 export { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 export { SlidingWindowCounter } from "./sliding_window_counter.ts";
 export { OutlierDetector } from "./outlier_detector.ts";
--- /dev/null
+++ b/packages/dispatch/src/stream_origins.ts
@@ -0,0 +1,159 @@
+import type { Clock } from "@limpetshed/base";
+import { hash64 } from "@limpetshed/hashing";
+import { LRUCache } from "lru-cache";
+
+/** Service and software version of the endpoint that began a stream. */
+export interface StreamOrigin {
+  service: string;
+  version: string;
+}
+
+/** Streams that began at the same service and version. */
+export interface StreamGroup extends StreamOrigin {
+  /** Keys as of {@linkcode streamKey}. */
+  streams: readonly string[];
+}
+
+/** Options of {@linkcode StreamOrigins}. */
+export interface StreamOriginsOptions {
+  clock: Clock;
+  /** Maximum number of streams; the least recently recorded are evicted. */
+  maxStreams?: number;
+}
+
+/** Time for which a stream is remembered; several times as long as clients go on
+ * with one. */
+export const STREAM_RETENTION_MS = 60_000;
+/** Takes a few megabytes of memory at about 150 bytes for each stream. */
+const DEFAULT_MAX_STREAMS = 50_000;
+/** Time after which a report that has not reached the store is sent again; several
+ * times as long as it takes. */
+const REPORT_RETRY_MS = 1_000;
+/** Radix of the shortest text for a hash with digits and lower-case letters. */
+const KEY_RADIX = 36;
+
+interface OwnStream {
+  origin: StreamOrigin;
+  beganMs: number;
+  /** When it was last reported; negative infinity if never. */
+  reportedMs: number;
+}
+
+/** Identifies a stream across nodes, by the client's attempt that received its
+ * first event. Clients cannot refer to streams of other client accounts. */
+export function streamKey(
+  account: string | undefined,
+  requestId: string,
+): string {
+  return hash64(`${account ?? ""}\u0000${requestId}`).toString(KEY_RADIX);
+}
+
+/**
+ * Remembers at which software version streams began: those of this node, and
+ * those that the fleet keeps in the store. Only unfinished ones are reported for
+ * the store, since a complete stream is not resumed.
+ */
+export class StreamOrigins {
+  readonly #clock: Clock;
+  /** An id that two streams have in common has no origin. */
+  readonly #origins: LRUCache<
+    string,
+    { origin: StreamOrigin | "ambiguous"; recordedMs: number }
+  >;
+  /** Streams that this node relayed and that are not in the store. */
+  readonly #unstored: LRUCache<string, OwnStream>;
+  readonly #listeners: (() => void)[] = [];
+
+  constructor(
+    { clock, maxStreams = DEFAULT_MAX_STREAMS }: StreamOriginsOptions,
+  ) {
+    this.#clock = clock;
+    this.#origins = new LRUCache({ max: maxStreams });
+    this.#unstored = new LRUCache({ max: maxStreams });
+  }
+
+  /** Registers a listener for streams of this node that begin from now on. */
+  onBegun(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Records that a stream of this node begins at `origin`; takes the place of an
+   * origin at which it has not begun after all. */
+  recordBegun(key: string, origin: StreamOrigin): void {
+    const now = this.#clock.monotonicMs();
+    this.#origins.set(key, { origin, recordedMs: now });
+    this.#unstored.set(key, {
+      origin,
+      beganMs: now,
+      reportedMs: Number.NEGATIVE_INFINITY,
+    });
+    this.#listeners.forEach((listener) => listener());
+  }
+
+  /** Records that a stream of this node is complete. */
+  recordCompleted(key: string): void {
+    this.#unstored.delete(key);
+  }
+
+  /** Records streams that are in the store. */
+  recordStored({ service, version, streams }: StreamGroup): void {
+    for (const key of streams) {
+      this.#record(key, { service, version });
+      this.#unstored.delete(key);
+    }
+  }
+
+  /** Where the stream began; undefined if that is not known. */
+  find(key: string): StreamOrigin | undefined {
+    const known = this.#origins.get(key);
+    const isKnown = known !== undefined && known.origin !== "ambiguous" &&
+      !this.#isExpired(known.recordedMs);
+    return isKnown ? known.origin as StreamOrigin : undefined;
+  }
+
+  /** Returns up to `max` unfinished streams of this node that are to be stored:
+   * of services that `needsRecord`, and not reported within the retry time. */
+  takeReports(
+    { needsRecord, max }: {
+      needsRecord: (service: string) => boolean;
+      max: number;
+    },
+  ): StreamGroup[] {
+    const now = this.#clock.monotonicMs();
+    const groups = new Map<string, StreamGroup & { streams: string[] }>();
+    let count = 0;
+    for (const [key, stream] of [...this.#unstored.entries()]) {
+      if (this.#isExpired(stream.beganMs)) {
+        this.#unstored.delete(key);
+      } else if (
+        count < max && now - stream.reportedMs >= REPORT_RETRY_MS &&
+        needsRecord(stream.origin.service)
+      ) {
+        count += 1;
+        stream.reportedMs = now;
+        const { service, version } = stream.origin;
+        const groupKey = JSON.stringify([service, version]);
+        const group = groups.get(groupKey) ?? { service, version, streams: [] };
+        group.streams.push(key);
+        groups.set(groupKey, group);
+      }
+    }
+    return [...groups.values()];
+  }
+
+  #record(key: string, origin: StreamOrigin): void {
+    const known = this.#origins.get(key);
+    const isSame = known === undefined || this.#isExpired(known.recordedMs) ||
+      (known.origin !== "ambiguous" &&
+        known.origin.service === origin.service &&
+        known.origin.version === origin.version);
+    this.#origins.set(key, {
+      origin: isSame ? origin : "ambiguous",
+      recordedMs: this.#clock.monotonicMs(),
+    });
+  }
+
+  #isExpired(recordedMs: number): boolean {
+    return this.#clock.monotonicMs() - recordedMs > STREAM_RETENTION_MS;
+  }
+}
--- a/packages/dispatch/tests/endpoint_chooser_test.ts
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -13,6 +13,7 @@
 import { LoadTracker } from "../src/load_tracker.ts";
 import { OverloadGuard } from "../src/overload_guard.ts";
 import { ServiceLatency } from "../src/service_latency.ts";
+import { ServiceVersions } from "../src/service_versions.ts";
 import { OutlierDetector } from "../src/outlier_detector.ts";
 import { entry, hashingReady, spec } from "./fixtures.ts";
 
@@ -56,6 +57,7 @@
     }),
     endpointLimiter,
     outlierDetector: new OutlierDetector({ clock }),
+    versions: new ServiceVersions({ clock, registry }),
     overloadGuard: new OverloadGuard({
       loads,
       latency,
--- a/packages/errors/src/error_kinds.ts
+++ b/packages/errors/src/error_kinds.ts
@@ -34,6 +34,8 @@
   | "share_exhausted"
   | "store_outcome_unknown"
   | "store_unavailable"
+  | "stream_origin_unknown"
+  | "stream_version_gone"
   | "too_many_requests"
   | "unauthenticated"
   | "zone_out";
@@ -85,6 +87,8 @@
   share_exhausted: { status: 429, run: "not-run", retryable: true },
   store_outcome_unknown: { status: 503, run: "may-have-run", retryable: true },
   store_unavailable: { status: 503, run: "not-run", retryable: true },
+  stream_origin_unknown: { status: 503, run: "not-run", retryable: true },
+  stream_version_gone: { status: 503, run: "not-run", retryable: true },
   too_many_requests: { status: 429, run: "not-run", retryable: true },
   unauthenticated: { status: 401, run: "not-run", retryable: false },
   zone_out: { status: 503, run: "not-run", retryable: true },
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -53,6 +53,11 @@
     [],
     "Responses whose endpoint named a limit that is not a valid number.",
   ),
+  limpetshed_stream_resumptions_total: row(
+    "counter",
+    ["origin"],
+    "Streams that clients resume, by how it was found where they began.",
+  ),
   limpetshed_copies_total: row(
     "counter",
     [],
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -30,4 +30,9 @@
   TelemetryObserver,
   type TelemetryObserverOptions,
 } from "./telemetry_observer.ts";
+export {
+  type StateView,
+  StreamOriginResolver,
+  type StreamOriginResolverOptions,
+} from "./stream_origin_resolver.ts";
 export { MetricsServer } from "./metrics_server.ts";
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -17,6 +17,8 @@
   RetryBudget,
   type RetryLimits,
   ServiceLatency,
+  ServiceVersions,
+  StreamOrigins,
 } from "@limpetshed/dispatch";
 import { type Logger, LogRateLimiter } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
@@ -29,6 +31,10 @@
 import type { RelayObserver } from "./relay_observer.ts";
 import { RelayServer } from "./relay_server.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
+import {
+  type StateView,
+  StreamOriginResolver,
+} from "./stream_origin_resolver.ts";
 import type { WireFormat } from "./wire_format.ts";
 
 /** State that endpoint policies read. */
@@ -50,6 +56,9 @@
   peerTimeoutMs: () => number;
   format: WireFormat;
   observer: RelayObserver;
+  /** How current this node's view of the shared state is; always current if
+   * undefined. */
+  view?: StateView;
   makePolicy: (dependencies: PolicyDependencies) => EndpointPolicy;
   retryLimits: RetryLimits;
   /** Limits on requests to a cold endpoint: one that has started recently and
@@ -80,6 +89,10 @@
   readonly crashSuspects: CrashSuspects;
   /** Limits that endpoints name. */
   readonly endpointLimiter: EndpointLimiter;
+  /** Where streams began that clients may resume. */
+  readonly streamOrigins: StreamOrigins;
+  /** Software versions of the endpoints of each service. */
+  readonly serviceVersions: ServiceVersions;
   readonly #options: RelayNodeOptions;
   readonly #pool: ConnectionPool;
   readonly #livenessProbe: LivenessProbe;
@@ -130,6 +143,11 @@
           noticeMs: ENTRY_LAPSE_MS,
         }),
     });
+    this.streamOrigins = new StreamOrigins({ clock });
+    this.serviceVersions = new ServiceVersions({
+      clock,
+      registry: this.registry,
+    });
     this.#server = new RelayServer({
       clock,
       config: this.config,
@@ -137,6 +155,14 @@
       forwarder: this.#makeForwarder(),
       observer: options.observer,
       shutdown: this.#shutdown,
+      originResolver: new StreamOriginResolver({
+        clock,
+        origins: this.streamOrigins,
+        versions: this.serviceVersions,
+        view: options.view ??
+          { confirmedMs: () => Number.POSITIVE_INFINITY },
+        onResolved: (lookup) => options.observer.originResolved(lookup),
+      }),
       random: options.random,
     });
     this.#readiness = new ReadinessServer({
@@ -279,6 +305,8 @@
       pool: this.#pool,
       format,
       observer,
+      streamOrigins: this.streamOrigins,
+      versions: this.serviceVersions,
       serviceLatency: this.#serviceLatency,
       accountLoads: this.#accountLoads,
       routeTable: () => this.config.table,
@@ -295,6 +323,7 @@
       coldStartLimiter: this.#coldStartLimiter,
       endpointLimiter: this.endpointLimiter,
       outlierDetector: this.#outlierDetector,
+      versions: this.serviceVersions,
       overloadGuard: new OverloadGuard({
         loads: endpointLoads,
         latency: this.#serviceLatency,
@@ -315,7 +344,9 @@
       : endpoint.entry.state !== "ready";
   }
 
-  #removeEndpoint({ key, entry }: Endpoint): void {
+  #removeEndpoint(endpoint: Endpoint): void {
+    const { key, entry } = endpoint;
+    this.serviceVersions.recordRemoved(endpoint);
     this.#outlierDetector.forget(key);
     this.#coldStartLimiter.forget(key);
     this.endpointLimiter.forget(key);
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -1,6 +1,7 @@
 import type { Endpoint, NoChoice, SendOutcome } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
 import type { RelayRequest } from "./relay_request.ts";
+import type { OriginLookup } from "./stream_origin_resolver.ts";
 import type { SendResult } from "./send_result.ts";
 
 /** A completed attempt to send a request to an endpoint. */
@@ -30,6 +31,9 @@
   /** An endpoint has named a limit that is not valid. */
   abstract malformedLimit(): void;
 
+  /** The origin of a stream that a client resumes was found or not. */
+  abstract originResolved(lookup: OriginLookup): void;
+
   /** A response has been relayed completely. */
   abstract responseCompleted(request: RelayRequest, durationMs: number): void;
 
--- a/packages/relay/src/relay_request.ts
+++ b/packages/relay/src/relay_request.ts
@@ -11,6 +11,15 @@
   receivedAttempts: number;
   /** Whether an endpoint may have run the request. */
   mayHaveRun: boolean;
+  /** Software version at which the stream began and has to go on; undefined
+   * before its first event. */
+  version: string | undefined;
+}
+
+/** What a client says of a stream that it resumes. */
+export interface StreamResumption {
+  /** Id of the client's attempt that received the first event, if named. */
+  firstRequestId: string | undefined;
 }
 
 /** A client request that this node relays, with its routing and progress. */
@@ -34,11 +43,8 @@
   prompt: PromptInfo | undefined;
   /** What the prompt has in common with others and may crash endpoints. */
   promptTraits: readonly string[];
-  /** Whether the client resumes a stream. */
-  isResumption: boolean;
-  /** Id of the client's attempt that received the first event of the stream that
-   * it resumes, if it names one. */
-  resumedRequestId: string | undefined;
+  /** The stream that the client resumes, if it does. */
+  resumption: StreamResumption | undefined;
   /** Hash that is identical for all retries of the request, also on other
    * nodes; computed on first use. */
   fingerprint: () => string;
@@ -60,5 +66,6 @@
     tried: new Set(),
     receivedAttempts: 0,
     mayHaveRun: false,
+    version: undefined,
   };
 }
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -19,9 +19,11 @@
   type AbortReason,
   initialProgress,
   type RelayRequest,
+  type StreamResumption,
 } from "./relay_request.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import { ResponseWriter } from "./response_writer.ts";
+import type { StreamOriginResolver } from "./stream_origin_resolver.ts";
 import type { RequestMetadata, WireFormat } from "./wire_format.ts";
 
 /** Options of {@linkcode RelayServer}. */
@@ -32,6 +34,7 @@
   forwarder: RequestForwarder;
   observer: RelayObserver;
   shutdown: GracefulShutdown;
+  originResolver: StreamOriginResolver;
   /** Returns a number in `[0, 1)`, drawn once per request to pick a weighted
    * target. */
   random: () => number;
@@ -189,7 +192,19 @@
       throw stoppingError();
     }
     const body = await readBody(req, { maxBytes: table.limits.maxBodyBytes });
-    const service = pickTarget(route.targets, random()) ?? "";
+    const resumption = parseResumption(metadata, route);
+    const origin = resumption === undefined
+      ? undefined
+      : await this.#options.originResolver.resolve({
+        requestId: metadata.requestId,
+        account: account?.name,
+        resumption,
+        services: route.targets.map((target) => target.service),
+        arrivedMs,
+        signal,
+      });
+    const service = origin?.service ?? pickTarget(route.targets, random()) ??
+      "";
     return {
       requestId: metadata.requestId ?? "",
       method: req.method ?? "GET",
@@ -204,8 +219,7 @@
       priority: account?.priority ?? route.priority,
       prompt: metadata.prompt,
       promptTraits: promptTraits(service, metadata.prompt),
-      isResumption: isResumption(metadata, route),
-      resumedRequestId: metadata.resumedRequestId,
+      resumption,
       fingerprint: lazyFingerprint({
         account: account?.name,
         path: req.url ?? "/",
@@ -215,6 +229,7 @@
       deadlineMs: arrivedMs +
         Math.min(route.timeoutMs, metadata.clientTimeoutMs ?? route.timeoutMs),
       ...initialProgress(),
+      version: origin?.version,
       signal,
     };
   }
@@ -243,12 +258,14 @@
 
 /** A client that names only one of the two ids resumes a stream as well: it has
  * received some of it. */
-function isResumption(
+function parseResumption(
   { lastEventId, resumedRequestId }: RequestMetadata,
   { kind }: Route,
-): boolean {
+): StreamResumption | undefined {
   return kind === "stream" &&
-    (lastEventId !== undefined || resumedRequestId !== undefined);
+      (lastEventId !== undefined || resumedRequestId !== undefined)
+    ? { firstRequestId: resumedRequestId }
+    : undefined;
 }
 
 function notReadyError(uptimeMs: number): RouterError {
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -13,6 +13,9 @@
   type RetryBudget,
   type SendOutcome,
   type ServiceLatency,
+  type ServiceVersions,
+  streamKey,
+  type StreamOrigins,
 } from "@limpetshed/dispatch";
 import { RouterError } from "@limpetshed/errors";
 import type { RouteTable } from "@limpetshed/routing";
@@ -24,6 +27,7 @@
 import type { ResponseWriter } from "./response_writer.ts";
 import { SendAttempt } from "./send_attempt.ts";
 import type { SendResult } from "./send_result.ts";
+import { RESUMPTION_RETRY_AFTER_MS } from "./stream_origin_resolver.ts";
 import { SseFramer } from "./sse_framer.ts";
 import type { WireFormat } from "./wire_format.ts";
 
@@ -41,6 +45,8 @@
   pool: ConnectionPool;
   format: WireFormat;
   observer: RelayObserver;
+  streamOrigins: StreamOrigins;
+  versions: ServiceVersions;
   /** Routes and services of the active configuration. */
   routeTable: () => RouteTable | undefined;
 }
@@ -72,6 +78,7 @@
         framer,
       });
       if (result.outcome === "delivered") {
+        this.#recordCompleted(request);
         return;
       }
       if (request.signal.aborted) {
@@ -144,6 +151,10 @@
         this.#options.limitRecorder.record(endpoint.key, limit, options),
       onUsableHead: (headMs) =>
         this.#options.outlierDetector.recordHeadersTime(endpoint.key, headMs),
+      onSend: () => this.#recordOrigin(request, endpoint),
+      onFirstEvent: () => {
+        request.version ??= this.#options.versions.versionOf(endpoint);
+      },
       onServerError: () => this.#onServerError(request, endpoint),
       isEndpointDown: () => crashGuard.isDown(endpoint),
       onEndlessDiscard: () =>
@@ -212,6 +223,7 @@
       spec,
       prompt: request.prompt,
       tried: request.tried,
+      version: request.version,
       overloadInput: {
         account: request.account,
         priority: request.priority,
@@ -221,6 +233,27 @@
     });
   }
 
+  /** Records where a stream begins before its first event, so that the record
+   * can be stored by then. A resumed stream is recorded under the id of this
+   * attempt too, as clients may name it. */
+  #recordOrigin(
+    { route, account, requestId, service }: RelayRequest,
+    endpoint: Endpoint,
+  ): void {
+    if (route.resumable) {
+      const version = this.#options.versions.versionOf(endpoint);
+      const key = streamKey(account, requestId);
+      this.#options.streamOrigins.recordBegun(key, { service, version });
+    }
+  }
+
+  #recordCompleted({ route, account, requestId }: RelayRequest): void {
+    if (route.resumable) {
+      const key = streamKey(account, requestId);
+      this.#options.streamOrigins.recordCompleted(key);
+    }
+  }
+
   /** Records a server error of the endpoint; returns whether the request is
    * retried elsewhere instead of relaying the error. */
   #onServerError(request: RelayRequest, { key }: Endpoint): boolean {
@@ -303,6 +336,13 @@
   if (request.mayHaveRun) {
     return new RouterError("endpoint_failed", "no endpoint is left to try");
   }
+  if (reason === "version_gone") {
+    return new RouterError(
+      "stream_version_gone",
+      "no endpoint has the software version that began the stream",
+      { retryAfterMs: RESUMPTION_RETRY_AFTER_MS },
+    );
+  }
   const wasAttempted = request.receivedAttempts > 0 ||
     request.counts.unsent > 0;
   return new RouterError(
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -70,6 +70,7 @@
   onSend(): void {
     this.#hasStartedSending = true;
     this.#sendStartMs = this.#options.clock.monotonicMs();
+    this.#options.onSend();
   }
 
   onHead(head: ResponseHead): void {
@@ -160,6 +161,9 @@
     }
     const { framer, writer } = this.#options;
     const bytes = framer === undefined ? chunk : framer.push(chunk);
+    if (framer !== undefined && bytes.length > 0 && this.#relayedBytes === 0) {
+      this.#options.onFirstEvent();
+    }
     this.#relayedBytes += bytes.length;
     const sink = this.#held ?? writer;
     if (bytes.length > 0 && !sink.write(bytes)) {
--- a/packages/relay/src/send_attempt_options.ts
+++ b/packages/relay/src/send_attempt_options.ts
@@ -29,6 +29,10 @@
     limit: NamedLimit,
     options: { sentMs: number; isServed: boolean },
   ) => void;
+  /** Called when the request is about to be sent. */
+  onSend: () => void;
+  /** Called before the first events of a resumable stream are passed on. */
+  onFirstEvent: () => void;
   /** Called with the time to the head of a usable response, milliseconds. */
   onUsableHead: (headMs: number) => void;
   /** Called on a server error of the endpoint; if it returns true, the request
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -7,6 +7,7 @@
   type RelayMetrics,
 } from "@limpetshed/observe";
 import { RelayObserver, type SendRecord } from "./relay_observer.ts";
+import type { OriginLookup } from "./stream_origin_resolver.ts";
 import type { RelayRequest } from "./relay_request.ts";
 
 /** Options of {@linkcode TelemetryObserver}. */
@@ -68,9 +69,7 @@
       endpointId: endpoint.entry.id,
       availabilityZone: endpoint.entry.availabilityZone,
       softwareVersion: endpoint.entry.softwareVersion,
-      resumes: request.isResumption
-        ? loggableId(request.resumedRequestId ?? "(not named)")
-        : undefined,
+      resumes: loggableResumption(request),
       copyFrom: copyFrom?.entry.id,
       load,
       candidates,
@@ -117,6 +116,8 @@
       tried: request.tried.size,
       priority: request.priority,
       account: request.account,
+      softwareVersion: request.version,
+      resumes: loggableResumption(request),
       waitMs: waitMs === undefined ? undefined : Math.round(waitMs),
       leftMs: Math.round(request.deadlineMs - this.#clock.monotonicMs()),
       configVersion: request.configVersion,
@@ -127,6 +128,24 @@
     this.#metrics.count("limpetshed_malformed_limits_total");
   }
 
+  originResolved(
+    { source, requestId, firstRequestId, versions, waitedMs, viewAgeMs }:
+      OriginLookup,
+  ): void {
+    this.#metrics.count("limpetshed_stream_resumptions_total", {
+      origin: source,
+    });
+    this.#log(`resumption_${source}`, () => ({
+      requestId: loggableId(requestId),
+      event: "resumption",
+      outcome: source,
+      resumes: loggableId(firstRequestId),
+      versions,
+      waitedMs: Math.round(waitedMs),
+      viewAgeMs: roundIfFinite(viewAgeMs),
+    }));
+  }
+
   responseCompleted(request: RelayRequest, durationMs: number): void {
     const { kind } = request.route;
     this.#metrics.count("limpetshed_requests_total", {
@@ -198,6 +217,12 @@
     : "(not printable)";
 }
 
+function loggableResumption({ resumption }: RelayRequest): string | undefined {
+  return resumption === undefined
+    ? undefined
+    : loggableId(resumption.firstRequestId) ?? "(no id)";
+}
+
 /** Ids of the first prompt parts; the last part is the request's own. */
 function loggableParts({ prompt }: RelayRequest): string[] | undefined {
   return prompt?.parts.slice(0, -1).slice(0, MAX_LOGGED_PARTS)
