feat(fleet): keep in the store where unfinished streams began

While a service has, or recently had, several versions, nodes report the streams that they send, within 20 ms, to the first watcher of the store, which writes them in batches each 100 ms. The mirror of the shared state brings them to all nodes. A mark for each version in service outlives it by a minute, so that a node that has just started knows of versions that have left.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -26,6 +26,17 @@
 } from "./peer_directory.ts";
 export { PeerClient } from "./peer_client.ts";
 export { PeerServer, PLACEMENTS_PATH } from "./peer_server.ts";
+export {
+  StreamLog,
+  type StreamLogOptions,
+  type VersionMark,
+} from "./stream_log.ts";
+export {
+  decodeStreamMessage,
+  encodeStreamMessage,
+  isStreamGroup,
+  type StreamGroupEntry,
+} from "./stream_message.ts";
 export {
   chooseWatchers,
   type StoreConnectivity,
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -78,6 +78,8 @@
    * `takeCrashReports`. */
   onCrashReports: (crashReports: readonly string[]) => void;
   limits: LimitHandlers;
+  /** Called with datagrams of other kinds. */
+  onOtherDatagram: (data: Buffer) => void;
 }
 
 /** Placements, crash reports and changes of limits collected for one broadcast round. */
@@ -175,7 +177,7 @@
     });
     datagrams.push(...this.#encodeLimits());
     for (const { datagramAddress } of this.#nextTargets()) {
-      this.#send(datagramAddress, datagrams);
+      this.send(datagramAddress, datagrams);
     }
     this.#sendLoans();
   }
@@ -213,12 +215,13 @@
           needs: [],
           loans,
         });
-        this.#send(datagramAddress, datagrams);
+        this.send(datagramAddress, datagrams);
       }
     }
   }
 
-  #send(address: string, datagrams: readonly Buffer[]): void {
+  /** Sends datagrams to `ip:port`. */
+  send(address: string, datagrams: readonly Buffer[]): void {
     const { host, port } = splitHostPort(address);
     datagrams.forEach((data) => this.#socket.send(data, port, host));
   }
@@ -241,6 +244,7 @@
     }
     const message = decodeLoadMessage(data);
     if (message === undefined) {
+      this.#options.onOtherDatagram(data);
       return;
     }
     const { nodeId, incarnation, round, inFlightByEndpoint } = message;
--- a/packages/fleet/src/peer_directory.ts
+++ b/packages/fleet/src/peer_directory.ts
@@ -85,6 +85,11 @@
     return this.#ids;
   }
 
+  /** The node with this id, unless it is this one. */
+  get(id: string): Peer | undefined {
+    return this.#peers.get(id);
+  }
+
   /** All nodes except this one. */
   peers(): readonly Peer[] {
     return [...this.#peers.values()];
--- /dev/null
+++ b/packages/fleet/src/stream_log.ts
@@ -0,0 +1,188 @@
+import {
+  type Clock,
+  errorText,
+  repeat,
+  type RepeatingTask,
+} from "@limpetshed/base";
+import type { Logger } from "@limpetshed/observe";
+import type { RegistrationStore } from "./node_registration.ts";
+import type { StreamGroupEntry } from "./stream_message.ts";
+
+/** A software version of a service. */
+export interface VersionMark {
+  service: string;
+  version: string;
+}
+
+/** Options of {@linkcode StreamLog}. */
+export interface StreamLogOptions {
+  clock: Clock;
+  logger: Logger;
+  store: RegistrationStore;
+  /** Prefix of the keys of this node's batches of streams; unique to each start of
+   * the node. */
+  batchPrefix: string;
+  /** Returns the key of a mark. */
+  markKey: (mark: VersionMark) => string;
+  /** The versions that this node has to keep marks of. */
+  marks: () => readonly VersionMark[];
+}
+
+/** Interval between writes; streams begun within it are lost if all nodes are
+ * killed. Below the time that most endpoints take to their first event. */
+const WRITE_INTERVAL_MS = 100;
+/** Delay after a failed call, so that a store in trouble is not pressed. */
+const RETRY_DELAY_MS = 1_000;
+/** Time for which new batches share a lease. */
+const BATCH_LEASE_PERIOD_MS = 20_000;
+/** Keeps each batch for 60 s at least, several times as long as clients go on with
+ * a stream. */
+const BATCH_LEASE_TTL_MS = 80_000;
+/** Keeps the mark of a version that has left for as long as streams that it
+ * began may be resumed. */
+const MARK_LEASE_TTL_MS = 60_000;
+const MARK_RENEW_INTERVAL_MS = 15_000;
+/** A batch of this many streams takes some 300 kB in the store. */
+const MAX_BATCH_STREAMS = 20_000;
+
+/**
+ * Keeps in the store at which software version unfinished streams began, in
+ * batches, and which versions are in service, as marks that outlive them. Both
+ * vanish with their leases.
+ */
+export class StreamLog {
+  readonly #options: StreamLogOptions;
+  readonly #abortController = new AbortController();
+  readonly #loop: RepeatingTask;
+  #pending = new Map<string, StreamGroupEntry>();
+  #pendingStreams = 0;
+  #batchCount = 0;
+  #batchLease: { id: number; grantedMs: number } | undefined;
+  readonly #markLeases = new Map<string, { id: number; renewedMs: number }>();
+  #retryAtMs = 0;
+  #isFailing = false;
+
+  constructor(options: StreamLogOptions) {
+    this.#options = options;
+    this.#loop = repeat(options.clock, () => this.#write(), {
+      intervalMs: WRITE_INTERVAL_MS,
+      onError: (err) => this.#recordFailure(err),
+    });
+  }
+
+  /** Adds streams to the next batch. Those beyond its limit are dropped: their
+   * nodes report them again. */
+  add(groups: readonly StreamGroupEntry[]): void {
+    for (const [service, version, streams] of groups) {
+      if (this.#pendingStreams + streams.length > MAX_BATCH_STREAMS) {
+        return;
+      }
+      this.#pendingStreams += streams.length;
+      const key = JSON.stringify([service, version]);
+      const group = this.#pending.get(key) ?? [service, version, []];
+      group[2].push(...streams);
+      this.#pending.set(key, group);
+    }
+  }
+
+  /** Stops writing. */
+  async close(): Promise<void> {
+    this.#abortController.abort();
+    await this.#loop.close();
+  }
+
+  async #write(): Promise<void> {
+    if (this.#options.clock.monotonicMs() < this.#retryAtMs) {
+      return;
+    }
+    await this.#keepMarks();
+    await this.#writeBatch();
+    this.#isFailing = false;
+  }
+
+  async #writeBatch(): Promise<void> {
+    if (this.#pending.size === 0) {
+      return;
+    }
+    const { store, batchPrefix } = this.#options;
+    const { signal } = this.#abortController;
+    const lease = await this.#currentBatchLease();
+    const groups = [...this.#pending.values()];
+    this.#pending = new Map();
+    this.#pendingStreams = 0;
+    // If this fails the streams are not kept here: their nodes report them again.
+    const isWritten = await store.put(`${batchPrefix}${this.#batchCount}`, {
+      value: JSON.stringify(groups),
+      lease,
+      signal,
+    });
+    this.#batchCount += 1;
+    if (!isWritten) {
+      this.#batchLease = undefined;
+    }
+  }
+
+  async #currentBatchLease(): Promise<number> {
+    const { clock, store } = this.#options;
+    const now = clock.monotonicMs();
+    if (
+      this.#batchLease === undefined ||
+      now - this.#batchLease.grantedMs >= BATCH_LEASE_PERIOD_MS
+    ) {
+      const id = await store.grantLease(BATCH_LEASE_TTL_MS, {
+        signal: this.#abortController.signal,
+      });
+      this.#batchLease = { id, grantedMs: now };
+    }
+    return this.#batchLease.id;
+  }
+
+  async #keepMarks(): Promise<void> {
+    const { markKey, marks } = this.#options;
+    const current = new Map(marks().map((mark) => [markKey(mark), mark]));
+    for (const key of [...this.#markLeases.keys()]) {
+      if (!current.has(key)) {
+        this.#markLeases.delete(key);
+      }
+    }
+    for (const [key, mark] of current) {
+      await this.#keepMark(key, mark);
+    }
+  }
+
+  async #keepMark(key: string, mark: VersionMark): Promise<void> {
+    const { clock, store } = this.#options;
+    const { signal } = this.#abortController;
+    const now = clock.monotonicMs();
+    const known = this.#markLeases.get(key);
+    if (known !== undefined) {
+      if (now - known.renewedMs < MARK_RENEW_INTERVAL_MS) {
+        return;
+      }
+      if (await store.renewLease(known.id, { signal })) {
+        known.renewedMs = now;
+        return;
+      }
+      this.#markLeases.delete(key);
+    }
+    const id = await store.grantLease(MARK_LEASE_TTL_MS, { signal });
+    const value = JSON.stringify(mark);
+    if (await store.put(key, { value, lease: id, signal })) {
+      this.#markLeases.set(key, { id, renewedMs: now });
+    }
+  }
+
+  #recordFailure(err: unknown): void {
+    const { clock, logger } = this.#options;
+    this.#retryAtMs = clock.monotonicMs() + RETRY_DELAY_MS;
+    this.#batchLease = undefined;
+    if (!this.#isFailing) {
+      this.#isFailing = true;
+      logger.warn({
+        event: "stream_log",
+        outcome: "failed",
+        err: errorText(err),
+      });
+    }
+  }
+}
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -11,6 +11,8 @@
   PeerDirectory,
   PeerServer,
   type RegistrationStore,
+  StreamLog,
+  type StreamLogOptions,
 } from "@limpetshed/fleet";
 import { Rng } from "@limpetshed/hashing";
 import {
@@ -32,11 +34,15 @@
 import { makeLimitHandlers } from "./limit_handlers.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
 import { StateSourceSelector } from "./state_source_selector.ts";
+import { StreamSharing } from "./stream_sharing.ts";
 
 /** Components of a node to which changes of shared state are applied. */
 export interface StateTargets {
   mirror: KeyMirror;
-  node: Pick<RelayNode, "config" | "registry">;
+  node: Pick<
+    RelayNode,
+    "config" | "registry" | "streamOrigins" | "serviceVersions"
+  >;
   /** Delays the removal of endpoints whose entries were deleted. */
   deferredRemovals: DeferredRemovals;
   directory: PeerDirectory;
@@ -56,6 +62,8 @@
   /** Reads shared state from the store. */
   storeSource: ChangeSource;
   registration: { store: RegistrationStore; key: string; value: string };
+  /** Where the store keeps the versions of streams. */
+  streamStore: Pick<StreamLogOptions, "store" | "batchPrefix" | "markKey">;
   /** Subscribes the components to changes of shared state. */
   subscribeToState: (targets: StateTargets) => void;
   /** Fetches the ids of the prompt parts that an endpoint reports as cached. */
@@ -68,6 +76,9 @@
 /** Interval at which load figures of peers that have sent no datagram within the
  * liveness timeout are dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
+/** Time after its start in which a node does not know its peers yet, so that all
+ * nodes of a fleet that starts would write the same. */
+const PEER_DISCOVERY_MS = 1_500;
 
 /** Runs a relay node in a fleet: follows shared state, registers the node,
  * exchanges load with its peers and recovers placements. */
@@ -85,6 +96,8 @@
   readonly #metricsServer: MetricsServer;
   readonly #loadExchange: LoadExchange;
   readonly #registration: NodeRegistration;
+  readonly #streamLog: StreamLog;
+  readonly #streamSharing: StreamSharing;
   readonly #deferredRemovals: DeferredRemovals;
   readonly #housekeeping: RepeatingTask;
   #graceMs: number;
@@ -119,7 +132,17 @@
       metrics: options.metrics,
       onScrape: () => this.#updateGauges(),
     });
+    this.#streamLog = this.#makeStreamLog();
     this.#loadExchange = this.#makeLoadExchange();
+    this.#streamSharing = new StreamSharing({
+      clock,
+      logger,
+      node: this.#node,
+      directory: this.#directory,
+      log: this.#streamLog,
+      writerId: () => this.#sourceSelector.fleetWriterId,
+      send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
+    });
     this.#registration = new NodeRegistration({
       clock,
       logger,
@@ -175,6 +198,8 @@
       this.#followers.peers.close(),
       this.#loadExchange.close(),
       this.#registration.close(),
+      this.#streamLog.close(),
+      this.#streamSharing.close(),
       this.#housekeeping.close(),
     ]);
   }
@@ -201,6 +226,7 @@
         metrics,
         stateAgeMs: () => this.#stateAgeMs,
       }),
+      view: { confirmedMs: () => this.#mirror.confirmedMs },
       makePolicy: (
         { endpointLoads, prefixCacheIndex, registry },
       ) =>
@@ -274,6 +300,21 @@
     });
   }
 
+  #makeStreamLog(): StreamLog {
+    const { clock, logger, settings, streamStore } = this.#options;
+    const startedMs = clock.monotonicMs();
+    return new StreamLog({
+      clock,
+      logger,
+      ...streamStore,
+      marks: () =>
+        clock.monotonicMs() - startedMs >= PEER_DISCOVERY_MS &&
+          this.#sourceSelector.fleetWriterId === settings.nodeId
+          ? this.#node.serviceVersions.inService()
+          : [],
+    });
+  }
+
   #makeLoadExchange(): LoadExchange {
     const { clock, logger, settings } = this.#options;
     const {
@@ -304,6 +345,7 @@
       onCrashReports: (crashReports) =>
         crashSuspects.applyPeerReports(decodeCrashReports(crashReports)),
       limits: makeLimitHandlers(this.#node.endpointLimiter),
+      onOtherDatagram: (data) => this.#streamSharing.receive(data),
     });
   }
 
--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -86,6 +86,12 @@
     return mirror.asOf === 0 || this.#watcherIds().includes(nodeId);
   }
 
+  /** Id of the node that writes to the store what concerns the whole fleet; nodes
+   * whose views of the fleet differ may choose several. */
+  get fleetWriterId(): string {
+    return this.#watcherIds()[0]!;
+  }
+
   /** Whether this node reads the store: as a watcher, or because its peers do not
    * keep it up to date. Not within the cooldown after a failed call, so that an
    * outage of the store does not turn the whole fleet into its callers. */
