--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -23,6 +23,7 @@
 import type { RelayMetrics } from "@limpetshed/observe";
 import { type Logger } from "@limpetshed/observe";
 import {
+  type EndpointConnector,
   MetricsServer,
   RelayNode,
   TelemetryObserver,
@@ -62,6 +63,8 @@
   /** Reads shared state from the store. */
   storeSource: ChangeSource;
   registration: { store: RegistrationStore; key: string; value: string };
+  /** Opens connections to endpoints over this node's own links. */
+  connector?: EndpointConnector;
   /** Where the store keeps the versions of streams. */
   streamStore: Pick<StreamLogOptions, "store" | "batchPrefix" | "markKey">;
   /** Subscribes the components to changes of shared state. */
@@ -226,6 +229,7 @@
         metrics,
         stateAgeMs: () => this.#stateAgeMs,
       }),
+      connector: this.#options.connector,
       view: { confirmedMs: () => this.#mirror.confirmedMs },
       makePolicy: (
         { endpointLoads, prefixCacheIndex, registry },
--- a/packages/relay/src/connection_pool.ts
+++ b/packages/relay/src/connection_pool.ts
@@ -1,9 +1,11 @@
 import type { Clock } from "@limpetshed/base";
+import type { EndpointConnector } from "./endpoint_connector.ts";
 import { EndpointConnection } from "./endpoint_connection.ts";
 
 /** Options of {@linkcode ConnectionPool}. */
 export interface ConnectionPoolOptions {
   clock: Clock;
+  connector: EndpointConnector;
   /** Connect timeout, milliseconds. */
   connectTimeoutMs?: number;
 }
@@ -20,14 +22,17 @@
 /** Pools connections to endpoints by address. */
 export class ConnectionPool {
   readonly #clock: Clock;
+  readonly #connector: EndpointConnector;
   readonly #connectTimeoutMs: number;
   readonly #idle = new Map<string, EndpointConnection[]>();
   readonly #open = new Map<string, Set<EndpointConnection>>();
 
   constructor(
-    { clock, connectTimeoutMs = CONNECT_TIMEOUT_MS }: ConnectionPoolOptions,
+    { clock, connector, connectTimeoutMs = CONNECT_TIMEOUT_MS }:
+      ConnectionPoolOptions,
   ) {
     this.#clock = clock;
+    this.#connector = connector;
     this.#connectTimeoutMs = connectTimeoutMs;
   }
 
@@ -97,6 +102,7 @@
     }
     const connection: EndpointConnection = new EndpointConnection({
       clock: this.#clock,
+      connector: this.#connector,
       address,
       connectTimeoutMs: this.#connectTimeoutMs,
       onClose: () => this.#remove(address, connection),
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -1,13 +1,13 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingHttpHeaders } from "node:http";
-import * as net from "node:net";
+import type * as net from "node:net";
 import {
   type Clock,
   limitInformationalResponses,
   ResetDetector,
-  splitHostPort,
 } from "@limpetshed/base";
 import { Client, type Dispatcher } from "undici";
+import type { EndpointConnector } from "./endpoint_connector.ts";
 
 /** A request to send to an endpoint. */
 export interface OutgoingRequest {
@@ -50,14 +50,13 @@
   clock: Clock;
   /** `ip:port`. */
   address: string;
+  connector: EndpointConnector;
   /** Connect timeout, milliseconds. */
   connectTimeoutMs: number;
   /** Called once, when the connection is closed. */
   onClose: () => void;
 }
 
-/** Idle time before the first TCP keep-alive probe. */
-const TCP_KEEP_ALIVE_DELAY_MS = 1_000;
 /** Idle time after which a connection is closed; below the idle timeout of
  * endpoints. */
 const KEEP_ALIVE_TIMEOUT_MS = 4_000;
@@ -74,6 +73,7 @@
   readonly #client: Client;
   readonly #dispatcher: Dispatcher;
   readonly #resets = new ResetDetector();
+  readonly #closing = new AbortController();
   #lastUsedMs: number;
   #exchangeCount = 0;
   #isClosed = false;
@@ -134,34 +134,25 @@
   close(): void {
     if (!this.#isClosed) {
       this.#isClosed = true;
+      this.#closing.abort();
       this.#client.destroy().catch(() => undefined);
       this.#options.onClose();
     }
   }
 
   #connect(done: (...args: [null, net.Socket] | [Error, null]) => void): void {
-    const { address, connectTimeoutMs, clock } = this.#options;
-    const socket = net.connect({
-      ...splitHostPort(address),
-      noDelay: true,
-      keepAlive: true,
-      keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
-    });
-    const timer = clock.setTimer(
-      connectTimeoutMs,
-      () => socket.destroy(new Error("connect timeout")),
+    const { address, connectTimeoutMs, connector } = this.#options;
+    connector.connect({
+      address,
+      timeoutMs: connectTimeoutMs,
+      signal: this.#closing.signal,
+    }).then(
+      (socket) => {
+        this.#resets.watch(socket);
+        done(null, socket);
+      },
+      (err: Error) => done(err, null),
     );
-    const onError = (err: Error) => {
-      timer.cancel();
-      done(err, null);
-    };
-    socket.once("error", onError);
-    socket.once("connect", () => {
-      timer.cancel();
-      socket.off("error", onError);
-      this.#resets.watch(socket);
-      done(null, socket);
-    });
   }
 
   #dispatchHandler(handler: ExchangeHandler): Dispatcher.DispatchHandler {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -30,6 +30,11 @@
   TelemetryObserver,
   type TelemetryObserverOptions,
 } from "./telemetry_observer.ts";
+export { DirectConnector } from "./direct_connector.ts";
+export {
+  type ConnectRequest,
+  EndpointConnector,
+} from "./endpoint_connector.ts";
 export {
   type StateView,
   StreamOriginResolver,
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -24,6 +24,8 @@
 import { CurrentConfig } from "@limpetshed/routing";
 import { ConnectionPool } from "./connection_pool.ts";
 import { CrashGuard } from "./crash_guard.ts";
+import { DirectConnector } from "./direct_connector.ts";
+import type { EndpointConnector } from "./endpoint_connector.ts";
 import { GracefulShutdown, UNREADY_DETECTION_MS } from "./graceful_shutdown.ts";
 import { LimitRecorder } from "./limit_recorder.ts";
 import { LivenessProbe } from "./liveness_probe.ts";
@@ -59,6 +61,8 @@
   /** How current this node's view of the shared state is; always current if
    * undefined. */
   view?: StateView;
+  /** Opens connections to endpoints; directly if undefined. */
+  connector?: EndpointConnector;
   makePolicy: (dependencies: PolicyDependencies) => EndpointPolicy;
   retryLimits: RetryLimits;
   /** Limits on requests to a cold endpoint: one that has started recently and
@@ -121,7 +125,10 @@
       onChange: ({ ageMs, ...change }) =>
         this.#logLimitChange({ ...change, ageMs: Math.round(ageMs) }),
     });
-    this.#pool = new ConnectionPool({ clock });
+    this.#pool = new ConnectionPool({
+      clock,
+      connector: options.connector ?? new DirectConnector({ clock }),
+    });
     this.#livenessProbe = new LivenessProbe({ clock });
     this.#outlierDetector = new OutlierDetector({ clock });
     this.#coldStartLimiter = new ColdStartLimiter({
--- a/packages/relay/tests/response_end_test.ts
+++ b/packages/relay/tests/response_end_test.ts
@@ -3,6 +3,7 @@
 import { listenOn, SystemClock } from "@limpetshed/base";
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
+import { DirectConnector } from "../src/direct_connector.ts";
 import { EndpointConnection } from "../src/endpoint_connection.ts";
 
 interface ResponseEnd {
@@ -25,9 +26,11 @@
       socket.once("data", () => respond(socket));
     });
     const address = await listenOn(server, "127.0.0.1:0");
+    const clock = new SystemClock();
     const connection = new EndpointConnection({
-      clock: new SystemClock(),
+      clock,
       address,
+      connector: new DirectConnector({ clock }),
       connectTimeoutMs: 5_000,
       onClose: () => undefined,
     });
