--- a/packages/fleet_relay/tests/stream_versions_test.ts
+++ b/packages/fleet_relay/tests/stream_versions_test.ts
@@ -4,6 +4,7 @@
   EndpointRegistry,
   ServiceVersions,
   streamKey,
+  type StreamOrigin,
   StreamOrigins,
 } from "@limpetshed/dispatch";
 import {
@@ -153,7 +154,7 @@
       if (!this.#seen.has(key)) {
         this.#seen.add(key);
         if (key.startsWith("versions/")) {
-          this.versions.setMark(key, JSON.parse(value));
+          this.versions.setMark(key, JSON.parse(value) as StreamOrigin);
         } else {
           for (
             const [service, version, streams] of JSON.parse(
