feat(relay): reach endpoints by way of another node where this node's links are cut

Cause: a node had only its own links, took each endpoint for an outlier by itself and spent 400 ms on each of four.

A direct connection that is not established after 100 ms, or is refused, is raced by one that another node opens with CONNECT; the first one is used. If most paths tried lately are cut, all are taken as cut. HTTP goes end to end through the tunnel, which carries one request, so at most once, deadlines, aborts, back-pressure and the accounts of the node stay as they are. A node that stops lets its tunnels end.

--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -152,6 +152,11 @@
     }
   }
 
+  /** Whether an endpoint has this `ip:port`. */
+  hasAddress(address: string): boolean {
+    return [...this.entries()].some((entry) => entry.address === address);
+  }
+
   /** All endpoints of a service, sorted by key. */
   serviceEndpoints(service: string): readonly Endpoint[] {
     let endpoints = this.#endpointsByService.get(service);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -37,6 +37,12 @@
 export type { ShareLoan, ShareNeed } from "./share_loans.ts";
 export { DeferredRemovals } from "./deferred_removals.ts";
 export type { EndpointEntry } from "./endpoint_entry.ts";
+export {
+  EndpointPaths,
+  type EndpointPathsOptions,
+  type PathChange,
+  type PathState,
+} from "./endpoint_paths.ts";
 export {
   EndpointPolicy,
   type Selection,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -37,6 +37,17 @@
   isStreamGroup,
   type StreamGroupEntry,
 } from "./stream_message.ts";
+export {
+  openTunnel,
+  TUNNEL_OUTCOME_HEADER,
+  type TunnelOutcome,
+  type TunnelResult,
+} from "./tunnel_client.ts";
+export {
+  hasHost,
+  TunnelServer,
+  type TunnelServerOptions,
+} from "./tunnel_server.ts";
 export {
   chooseWatchers,
   type StoreConnectivity,
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -10,6 +10,7 @@
   setResponseHeader,
   toNodeListener,
 } from "h3";
+import type { TunnelServer } from "./tunnel_server.ts";
 import { UpdateEncoder } from "./update_encoder.ts";
 
 /** HTTP path of shared-state changes. */
@@ -30,9 +31,11 @@
 
 /** Serves shared state and placements to nodes that are behind or starting. */
 export class PeerServer extends HttpService {
-  constructor({ clock, mirror, placements }: {
+  constructor({ clock, mirror, placements, tunnels }: {
     clock: Clock;
     mirror: KeyMirror;
+    /** Takes tunnels of other nodes; none are taken if undefined. */
+    tunnels?: TunnelServer;
     /** Returns alternating ids of prompt parts and keys of endpoints that have
      * them cached. */
     placements: () => readonly string[];
@@ -72,6 +75,11 @@
     const app = createApp();
     app.use(router);
     super(toNodeListener(app));
+    if (tunnels !== undefined) {
+      this.onConnect((req, socket, head) =>
+        void tunnels.handle(req, socket, head)
+      );
+    }
   }
 }
 
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -1,4 +1,9 @@
-import { type Clock, repeat, type RepeatingTask } from "@limpetshed/base";
+import {
+  type Clock,
+  repeat,
+  type RepeatingTask,
+  splitHostPort,
+} from "@limpetshed/base";
 import {
   DeferredRemovals,
   type Endpoint,
@@ -23,6 +28,7 @@
 import type { RelayMetrics } from "@limpetshed/observe";
 import { type Logger } from "@limpetshed/observe";
 import {
+  DirectConnector,
   type EndpointConnector,
   MetricsServer,
   RelayNode,
@@ -33,8 +39,10 @@
 import { decodeCachedParts, encodeCachedParts } from "./cached_parts.ts";
 import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
 import { makeLimitHandlers } from "./limit_handlers.ts";
+import { NodeTunnels } from "./node_tunnels.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
 import { StateSourceSelector } from "./state_source_selector.ts";
+import { updateGauges } from "./update_gauges.ts";
 import { StreamSharing } from "./stream_sharing.ts";
 
 /** Components of a node to which changes of shared state are applied. */
@@ -90,6 +98,8 @@
   readonly #rng: Rng;
   readonly #mirror = new KeyMirror();
   readonly #directory: PeerDirectory;
+  readonly #directConnector: EndpointConnector;
+  readonly #tunnels: NodeTunnels;
   readonly #node: RelayNode;
   readonly #sourceSelector: StateSourceSelector;
   readonly #recovery: PlacementRecovery;
@@ -111,6 +121,8 @@
     this.#rng = new Rng(settings.rngSeed);
     this.#graceMs = settings.graceMs;
     this.#directory = new PeerDirectory({ clock, selfId: settings.nodeId });
+    this.#directConnector = options.connector ?? new DirectConnector({ clock });
+    this.#tunnels = this.#makeTunnels();
     this.#node = this.#makeNode();
     this.#sourceSelector = this.#makeSourceSelector();
     this.#recovery = this.#makeRecovery();
@@ -128,12 +140,21 @@
     });
     this.#peerServer = new PeerServer({
       clock,
+      tunnels: this.#tunnels.given,
       mirror: this.#mirror,
       placements: () => this.#recovery.encodedPlacements(),
     });
     this.#metricsServer = new MetricsServer({
       metrics: options.metrics,
-      onScrape: () => this.#updateGauges(),
+      onScrape: () =>
+        updateGauges(options.metrics, {
+          node: this.#node,
+          directory: this.#directory,
+          followers: this.#followers,
+          stateRevision: this.#mirror.asOf,
+          stateAgeMs: this.#stateAgeMs,
+          droppedLogLines: options.droppedLogLines?.() ?? 0,
+        }),
     });
     this.#streamLog = this.#makeStreamLog();
     this.#loadExchange = this.#makeLoadExchange();
@@ -184,7 +205,10 @@
 
   /** Lets requests in flight finish within the grace period, then closes. */
   async stop(): Promise<void> {
+    this.#tunnels.given.stop();
+    const drained = this.#tunnels.drained(this.#graceMs);
     await this.#node.stop({ graceMs: this.#graceMs });
+    await drained;
     await this.close();
   }
 
@@ -193,6 +217,7 @@
     this.#recovery.close();
     this.#deferredRemovals.close();
     this.#node.close();
+    this.#tunnels.given.close();
     this.#peerServer.close();
     this.#metricsServer.close();
     this.#peerSource.close();
@@ -229,7 +254,8 @@
         metrics,
         stateAgeMs: () => this.#stateAgeMs,
       }),
-      connector: this.#options.connector,
+      directConnector: this.#directConnector,
+      tunnels: this.#tunnels.asked,
       view: { confirmedMs: () => this.#mirror.confirmedMs },
       makePolicy: (
         { endpointLoads, prefixCacheIndex, registry },
@@ -304,6 +330,19 @@
     });
   }
 
+  #makeTunnels(): NodeTunnels {
+    const { clock, metrics, settings } = this.#options;
+    return new NodeTunnels({
+      clock,
+      metrics,
+      ownIp: splitHostPort(settings.listen.calls).host,
+      availabilityZone: settings.availabilityZone,
+      directory: this.#directory,
+      connector: this.#directConnector,
+      isEndpoint: (address) => this.#node.registry.hasAddress(address),
+    });
+  }
+
   #makeStreamLog(): StreamLog {
     const { clock, logger, settings, streamStore } = this.#options;
     const startedMs = clock.monotonicMs();
@@ -352,24 +391,4 @@
       onOtherDatagram: (data) => this.#streamSharing.receive(data),
     });
   }
-
-  #updateGauges(): void {
-    const { metrics, droppedLogLines = () => 0 } = this.#options;
-    metrics.gauge("limpetshed_log_lines_dropped", droppedLogLines());
-    metrics.gauge("limpetshed_in_flight", this.#node.inFlight);
-    metrics.gauge("limpetshed_config_version", this.#node.config.version);
-    metrics.gauge("limpetshed_state_revision", this.#mirror.asOf);
-    if (Number.isFinite(this.#stateAgeMs)) {
-      metrics.gauge("limpetshed_state_age_seconds", this.#stateAgeMs / 1_000);
-    }
-    metrics.gauge("limpetshed_nodes", this.#directory.nodeIds().length);
-    const { inForce } = this.#node.endpointLimiter.limits;
-    metrics.gauges("limpetshed_endpoint_limit", "endpoint", inForce);
-    const { refusedTraits } = this.#node.crashSuspects;
-    metrics.gauge("limpetshed_refused_traits", refusedTraits.length);
-    for (const [source, follower] of Object.entries(this.#followers)) {
-      const value = follower.isReachable ? 1 : 0;
-      metrics.gauge("limpetshed_source_reachable", value, { source });
-    }
-  }
 }
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -58,6 +58,21 @@
     ["origin"],
     "Streams that clients resume, by how it was found where they began.",
   ),
+  limpetshed_path_changes_total: row(
+    "counter",
+    ["path"],
+    "Changes of the path to an endpoint, or to all, by the path used since.",
+  ),
+  limpetshed_tunnels_total: row(
+    "counter",
+    ["role", "outcome"],
+    "Connections to endpoints by way of another node: asked for, or given as a helper.",
+  ),
+  limpetshed_cut_paths: row(
+    "gauge",
+    [],
+    "Endpoints that this node reaches only by way of another node.",
+  ),
   limpetshed_copies_total: row(
     "counter",
     [],
--- a/packages/relay/src/connection_pool.ts
+++ b/packages/relay/src/connection_pool.ts
@@ -69,6 +69,10 @@
     if (!connection.isOpen) {
       return;
     }
+    if (connection.isDetour) {
+      connection.close();
+      return;
+    }
     let idle = this.#idle.get(address);
     if (idle === undefined) {
       idle = [];
@@ -87,6 +91,11 @@
     idle.forEach((connection) => connection.close());
   }
 
+  /** Closes the idle connections to all addresses. */
+  closeAllIdle(): void {
+    [...this.#idle.keys()].forEach((address) => this.closeIdle(address));
+  }
+
   /** Closes all connections, including those in use. */
   close(): void {
     for (const connections of this.#open.values()) {
--- a/packages/relay/src/direct_connector.ts
+++ b/packages/relay/src/direct_connector.ts
@@ -3,6 +3,7 @@
 import {
   type ConnectRequest,
   EndpointConnector,
+  type OpenedConnection,
 } from "./endpoint_connector.ts";
 
 /** Idle time before the first TCP keep-alive probe. */
@@ -19,7 +20,7 @@
 
   connect(
     { address, timeoutMs, signal }: ConnectRequest,
-  ): Promise<net.Socket> {
+  ): Promise<OpenedConnection> {
     const socket = net.connect({
       ...splitHostPort(address),
       noDelay: true,
@@ -46,7 +47,7 @@
       });
       socket.once("connect", () => {
         settle();
-        resolve(socket);
+        resolve({ socket, isDetour: false });
       });
       if (signal.aborted) {
         abort();
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -77,6 +77,7 @@
   #lastUsedMs: number;
   #exchangeCount = 0;
   #isClosed = false;
+  #isDetour = false;
 
   constructor(options: EndpointConnectionOptions) {
     this.#options = options;
@@ -111,6 +112,12 @@
     return !this.#isClosed;
   }
 
+  /** Whether it leads by way of another node; such a connection is not used
+   * again. */
+  get isDetour(): boolean {
+    return this.#isDetour;
+  }
+
   /** Milliseconds since the last exchange completed. */
   get idleMs(): number {
     return this.#options.clock.monotonicMs() - this.#lastUsedMs;
@@ -147,7 +154,8 @@
       timeoutMs: connectTimeoutMs,
       signal: this.#closing.signal,
     }).then(
-      (socket) => {
+      ({ socket, isDetour }) => {
+        this.#isDetour = isDetour;
         this.#resets.watch(socket);
         done(null, socket);
       },
--- a/packages/relay/src/endpoint_connector.ts
+++ b/packages/relay/src/endpoint_connector.ts
@@ -10,9 +10,19 @@
   signal: AbortSignal;
 }
 
+/** A connection to an endpoint, without listeners. */
+export interface OpenedConnection {
+  socket: net.Socket;
+  /** Whether it leads by way of another node; then it carries one request. */
+  isDetour: boolean;
+}
+
+/** Code of the error of a connection that the endpoint's system refused. */
+export const REFUSED_CODE = "ECONNREFUSED";
+
 /** Opens connections to endpoints. */
 export abstract class EndpointConnector {
-  /** Resolves to an established connection without listeners; rejects with the
-   * error of the system if there is one. */
-  abstract connect(req: ConnectRequest): Promise<net.Socket>;
+  /** Resolves to an established connection; rejects with the error of the system
+   * if there is one. */
+  abstract connect(req: ConnectRequest): Promise<OpenedConnection>;
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -34,7 +34,14 @@
 export {
   type ConnectRequest,
   EndpointConnector,
+  type OpenedConnection,
+  REFUSED_CODE,
 } from "./endpoint_connector.ts";
+export {
+  HelperTunnels,
+  TunnelError,
+  type TunnelFailure,
+} from "./helper_tunnels.ts";
 export {
   type StateView,
   StreamOriginResolver,
--- a/packages/relay/src/liveness_probe.ts
+++ b/packages/relay/src/liveness_probe.ts
@@ -1,16 +1,19 @@
 import * as net from "node:net";
 import { type Clock, splitHostPort } from "@limpetshed/base";
+import { REFUSED_CODE } from "./endpoint_connector.ts";
 
 /** Options of {@linkcode LivenessProbe}. */
 export interface LivenessProbeOptions {
   clock: Clock;
   /** Connect timeout, milliseconds. */
   connectTimeoutMs?: number;
+  /** Resolves to whether an address that refuses connections of this node refuses
+   * those of other nodes as well. */
+  isRefusedElsewhere?: (address: string) => Promise<boolean>;
 }
 
 /** Allows several round trips between availability zones. */
 const CONNECT_TIMEOUT_MS = 400;
-const REFUSED_CODE = "ECONNREFUSED";
 
 /**
  * Finds out whether the process behind an address is gone. The system closes the
@@ -21,22 +24,29 @@
 export class LivenessProbe {
   readonly #clock: Clock;
   readonly #connectTimeoutMs: number;
+  readonly #isRefusedElsewhere: (address: string) => Promise<boolean>;
   readonly #running = new Map<string, Promise<boolean>>();
   readonly #sockets = new Set<net.Socket>();
 
   constructor(
-    { clock, connectTimeoutMs = CONNECT_TIMEOUT_MS }: LivenessProbeOptions,
+    {
+      clock,
+      connectTimeoutMs = CONNECT_TIMEOUT_MS,
+      isRefusedElsewhere = () => Promise.resolve(true),
+    }: LivenessProbeOptions,
   ) {
     this.#clock = clock;
+    this.#isRefusedElsewhere = isRefusedElsewhere;
     this.#connectTimeoutMs = connectTimeoutMs;
   }
 
-  /** Resolves to whether `ip:port` refuses connections; false also if that stays
-   * unknown, as behind a partition. Concurrent calls share one connection. */
+  /** Resolves to whether `ip:port` refuses connections of all nodes; false also if
+   * that stays unknown, as behind a partition. Concurrent calls share one
+   * connection. */
   isRefused(address: string): Promise<boolean> {
     let running = this.#running.get(address);
     if (running === undefined) {
-      running = this.#connect(address).finally(() =>
+      running = this.#probe(address).finally(() =>
         this.#running.delete(address)
       );
       this.#running.set(address, running);
@@ -49,6 +59,11 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
+  async #probe(address: string): Promise<boolean> {
+    return await this.#connect(address) &&
+      await this.#isRefusedElsewhere(address);
+  }
+
   #connect(address: string): Promise<boolean> {
     return new Promise((resolve) => {
       const socket = net.connect(splitHostPort(address));
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -3,7 +3,7 @@
   AccountLoads,
   ColdStartLimiter,
   type ColdStartLimits,
-  CrashSuspects,
+  type CrashSuspects,
   type Endpoint,
   EndpointChooser,
   EndpointLimiter,
@@ -22,13 +22,14 @@
 } from "@limpetshed/dispatch";
 import { type Logger, LogRateLimiter } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
-import { ConnectionPool } from "./connection_pool.ts";
+import { makeCrashSuspects } from "./make_crash_suspects.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import { DirectConnector } from "./direct_connector.ts";
 import type { EndpointConnector } from "./endpoint_connector.ts";
+import { EndpointLinks } from "./endpoint_links.ts";
 import { GracefulShutdown, UNREADY_DETECTION_MS } from "./graceful_shutdown.ts";
+import { type HelperTunnels, NoTunnels } from "./helper_tunnels.ts";
 import { LimitRecorder } from "./limit_recorder.ts";
-import { LivenessProbe } from "./liveness_probe.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import { RelayServer } from "./relay_server.ts";
@@ -61,8 +62,10 @@
   /** How current this node's view of the shared state is; always current if
    * undefined. */
   view?: StateView;
-  /** Opens connections to endpoints; directly if undefined. */
-  connector?: EndpointConnector;
+  /** Opens connections to endpoints over this node's own links. */
+  directConnector?: EndpointConnector;
+  /** Opens connections by way of other nodes; there are none if undefined. */
+  tunnels?: HelperTunnels;
   makePolicy: (dependencies: PolicyDependencies) => EndpointPolicy;
   retryLimits: RetryLimits;
   /** Limits on requests to a cold endpoint: one that has started recently and
@@ -97,9 +100,8 @@
   readonly streamOrigins: StreamOrigins;
   /** Software versions of the endpoints of each service. */
   readonly serviceVersions: ServiceVersions;
+  readonly endpointLinks: EndpointLinks;
   readonly #options: RelayNodeOptions;
-  readonly #pool: ConnectionPool;
-  readonly #livenessProbe: LivenessProbe;
   readonly #outlierDetector: OutlierDetector;
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
@@ -116,7 +118,7 @@
     this.#limitLogBudget = new LogRateLimiter({ clock });
     this.endpointLoads = new LoadTracker({ clock });
     this.prefixCacheIndex = new PrefixCacheIndex({ clock });
-    this.crashSuspects = this.#makeCrashSuspects();
+    this.crashSuspects = makeCrashSuspects(options);
     this.endpointLimiter = new EndpointLimiter({
       clock,
       nodeId: options.nodeId,
@@ -125,11 +127,13 @@
       onChange: ({ ageMs, ...change }) =>
         this.#logLimitChange({ ...change, ageMs: Math.round(ageMs) }),
     });
-    this.#pool = new ConnectionPool({
+    this.endpointLinks = new EndpointLinks({
       clock,
-      connector: options.connector ?? new DirectConnector({ clock }),
+      logger: options.logger,
+      observer: options.observer,
+      direct: options.directConnector ?? new DirectConnector({ clock }),
+      tunnels: options.tunnels ?? new NoTunnels(),
     });
-    this.#livenessProbe = new LivenessProbe({ clock });
     this.#outlierDetector = new OutlierDetector({ clock });
     this.#coldStartLimiter = new ColdStartLimiter({
       clock,
@@ -249,29 +253,7 @@
   close(): void {
     this.#server.close();
     this.#readiness.close();
-    this.#pool.close();
-    this.#livenessProbe.close();
-  }
-
-  #makeCrashSuspects(): CrashSuspects {
-    const { clock, logger, nodeId, nodeIds } = this.#options;
-    const event = "crash_suspect";
-    return new CrashSuspects({
-      clock,
-      nodeId,
-      nodeIds,
-      onRefused: (suspect) =>
-        logger.warn({ event, outcome: "refused", ...suspect }),
-      onCleared: (trait) => logger.warn({ event, outcome: "cleared", trait }),
-      onCrash: (endpoint, lost) =>
-        logger.warn({
-          event: "endpoint_crash",
-          endpoint,
-          lostResponses: lost.length,
-        }),
-      onDropped: (dropped) =>
-        logger.warn({ event: "crash_evidence_dropped", ...dropped }),
-    });
+    this.endpointLinks.close();
   }
 
   #logLimitChange(change: LimitChange): void {
@@ -296,7 +278,7 @@
       outlierDetector: this.#outlierDetector,
       crashGuard: new CrashGuard({
         suspects: this.crashSuspects,
-        probe: this.#livenessProbe,
+        probe: this.endpointLinks.livenessProbe,
         isLeaving: (key) => this.#isLeaving(key),
       }),
       limitRecorder: new LimitRecorder({
@@ -309,7 +291,7 @@
         limits: retryLimits,
         nodeCount: () => nodeIds().length,
       }),
-      pool: this.#pool,
+      pool: this.endpointLinks.pool,
       format,
       observer,
       streamOrigins: this.streamOrigins,
@@ -339,7 +321,8 @@
       isConnectionLimitReached: (address, { maxConnections }) => {
         const share = FLEET_CONNECTION_FRACTION * maxConnections /
           nodeIds().length;
-        return this.#pool.openCount(address) >= Math.max(1, Math.floor(share));
+        return this.endpointLinks.pool.openCount(address) >=
+          Math.max(1, Math.floor(share));
       },
     });
   }
@@ -358,6 +341,6 @@
     this.#coldStartLimiter.forget(key);
     this.endpointLimiter.forget(key);
     this.endpointLoads.forget(key);
-    this.#pool.closeIdle(entry.address);
+    this.endpointLinks.forget(entry.address);
   }
 }
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -1,4 +1,9 @@
-import type { Endpoint, NoChoice, SendOutcome } from "@limpetshed/dispatch";
+import type {
+  Endpoint,
+  NoChoice,
+  PathState,
+  SendOutcome,
+} from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
 import type { RelayRequest } from "./relay_request.ts";
 import type { OriginLookup } from "./stream_origin_resolver.ts";
@@ -31,6 +36,9 @@
   /** An endpoint has named a limit that is not valid. */
   abstract malformedLimit(): void;
 
+  /** The path to an endpoint, or to all, has changed. */
+  abstract pathChanged(state: PathState): void;
+
   /** The origin of a stream that a client resumes was found or not. */
   abstract originResolved(lookup: OriginLookup): void;
 
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -2,6 +2,7 @@
 import { deferred, type Timer } from "@limpetshed/base";
 import type { SendOutcome } from "@limpetshed/dispatch";
 import { classifyUnusable } from "./classify_response.ts";
+import { REFUSED_CODE } from "./endpoint_connector.ts";
 import type {
   EndpointConnection,
   ExchangeControl,
@@ -22,7 +23,6 @@
  * connection usable again: closing it is cheaper beyond them. */
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MS = 1_000;
-const REFUSED_CODE = "ECONNREFUSED";
 const FIRST_ERROR_STATUS = 400;
 
 /** Sends a request to one endpoint and relays the response to the client. */
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "@limpetshed/base";
-import type { NoChoice, SendOutcome } from "@limpetshed/dispatch";
+import type { NoChoice, PathState, SendOutcome } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
 import {
   type Logger,
@@ -128,6 +128,10 @@
     this.#metrics.count("limpetshed_malformed_limits_total");
   }
 
+  pathChanged(state: PathState): void {
+    this.#metrics.count("limpetshed_path_changes_total", { path: state });
+  }
+
   originResolved(
     { source, requestId, firstRequestId, versions, waitedMs, viewAgeMs }:
       OriginLookup,
