feat(dispatch): keep requests from waiting at endpoints that are brittle

While a service is brittle, each node now has its share of the slots of each endpoint, so that together they send none to wait; a rejection pauses the node for as long as keeps the fleet within the limit.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -1,9 +1,11 @@
 import type { Clock } from "@limpetshed/base";
 import type { ServiceSpec } from "@limpetshed/routing";
+import type { BrittleEndpoints } from "./brittle_endpoints.ts";
 import type { ColdStartLimiter } from "./cold_start_limiter.ts";
 import type { EndpointLimiter } from "./endpoint_limiter.ts";
 import type { EndpointPolicy } from "./endpoint_policy.ts";
 import type { Endpoint, EndpointRegistry } from "./endpoint_registry.ts";
+import type { LoadTracker } from "./load_tracker.ts";
 import type { OutlierDetector } from "./outlier_detector.ts";
 import type {
   Admission,
@@ -24,6 +26,9 @@
   | "cold_limit"
   /** The remaining endpoints name limits, and this node has no share left. */
   | "endpoint_limit"
+  /** The remaining endpoints go down if they have to reject requests, and have no
+   * room left. */
+  | "brittle"
   /** This node may not open more connections to the remaining endpoints. */
   | "connection_limit"
   /** The request has to go on at a software version that no usable endpoint
@@ -78,6 +83,8 @@
   outlierDetector: OutlierDetector;
   overloadGuard: OverloadGuard;
   versions: ServiceVersions;
+  brittleEndpoints: BrittleEndpoints;
+  loads: LoadTracker;
   /** Whether this node may open no more connections to the address. True even
    * if there are idle connections, since a request may still need a new
    * one. */
@@ -144,14 +151,28 @@
     if ("refusal" in withinLimits) {
       return withinLimits;
     }
+    const withRoom = withinLimits.filter((endpoint) => this.#hasRoom(endpoint));
+    if (withRoom.length === 0) {
+      return { refusal: "brittle" };
+    }
     const candidates = this.#excludeOutliers(
-      this.#filterConnectable(withinLimits, spec),
+      this.#filterConnectable(withRoom, spec),
     );
     return candidates.length === 0
       ? { refusal: "connection_limit" }
       : candidates;
   }
 
+  #hasRoom({ key, entry: { service, slots } }: Endpoint): boolean {
+    const { brittleEndpoints, loads } = this.#options;
+    return !brittleEndpoints.isBrittle(service) ||
+      brittleEndpoints.allows(key, {
+        slots,
+        total: loads.totalInFlight(key),
+        local: loads.localInFlight(key),
+      });
+  }
+
   #usable({ spec: { name }, version }: ChoiceRequest): readonly Endpoint[] {
     const { registry, versions } = this.#options;
     return version === undefined ? registry.usable(name) : registry.usableWhere(
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -11,6 +11,11 @@
   LeastLoadedPolicy,
 } from "./baseline_policies.ts";
 export { AccountLoads } from "./account_loads.ts";
+export {
+  BrittleEndpoints,
+  type BrittleLoad,
+  type Brittleness,
+} from "./brittle_endpoints.ts";
 export {
   ColdStartLimiter,
   type ColdStartLimits,
--- a/packages/dispatch/tests/endpoint_chooser_test.ts
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -3,6 +3,7 @@
 import { before, describe, it } from "mocha";
 import { AccountLoads } from "../src/account_loads.ts";
 import { LeastLoadedPolicy } from "../src/baseline_policies.ts";
+import { BrittleEndpoints } from "../src/brittle_endpoints.ts";
 import { ColdStartLimiter } from "../src/cold_start_limiter.ts";
 import {
   type ChoiceRequest,
@@ -45,6 +46,11 @@
     const { key } = registry.get(id)!;
     endpointLimiter.limits.recordResponse(key, { requestsPerS, sentMs: 0 });
   }
+  const brittleEndpoints = new BrittleEndpoints({
+    clock,
+    nodeId: "n1",
+    nodeIds: () => ["n1"],
+  });
   const chooser = new EndpointChooser({
     clock,
     registry,
@@ -58,6 +64,8 @@
     endpointLimiter,
     outlierDetector: new OutlierDetector({ clock }),
     versions: new ServiceVersions({ clock, registry }),
+    brittleEndpoints,
+    loads,
     overloadGuard: new OverloadGuard({
       loads,
       latency,
--- a/packages/relay/src/limit_recorder.ts
+++ b/packages/relay/src/limit_recorder.ts
@@ -1,10 +1,17 @@
-import type { EndpointLimiter, NamedLimit } from "@limpetshed/dispatch";
+import type {
+  BrittleEndpoints,
+  Brittleness,
+  Endpoint,
+  EndpointLimiter,
+  NamedLimit,
+} from "@limpetshed/dispatch";
 import type { Logger } from "@limpetshed/observe";
 import type { RelayObserver } from "./relay_observer.ts";
 
 /** Options of {@linkcode LimitRecorder}. */
 export interface LimitRecorderOptions {
   limiter: EndpointLimiter;
+  brittleEndpoints: BrittleEndpoints;
   logger: Logger;
   observer: RelayObserver;
 }
@@ -52,6 +59,24 @@
     }
   }
 
+  /** Records what a response says of its endpoint's brittleness, and whether the
+   * endpoint rejected the request. */
+  recordBrittleness(
+    { key, entry: { service } }: Endpoint,
+    brittleness: Brittleness,
+    { isRejected }: { isRejected: boolean },
+  ): void {
+    const { brittleEndpoints } = this.#options;
+    if (brittleness.state === "named") {
+      brittleEndpoints.recordNamed(service, brittleness.rejectionsPerS);
+    } else if (brittleness.state === "malformed") {
+      this.#reportMalformed(key);
+    }
+    if (isRejected) {
+      brittleEndpoints.recordRejection(service, key);
+    }
+  }
+
   #reportMalformed(endpoint: string): void {
     const { logger, observer } = this.#options;
     observer.malformedLimit();
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -1,6 +1,7 @@
 import { type Clock, sleep } from "@limpetshed/base";
 import {
   AccountLoads,
+  BrittleEndpoints,
   ColdStartLimiter,
   type ColdStartLimits,
   type CrashSuspects,
@@ -106,6 +107,7 @@
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
   readonly #coldStartLimiter: ColdStartLimiter;
+  readonly #brittleEndpoints: BrittleEndpoints;
   readonly #limitLogBudget: LogRateLimiter;
   readonly #server: RelayServer;
   readonly #readiness: ReadinessServer;
@@ -154,6 +156,11 @@
           noticeMs: ENTRY_LAPSE_MS,
         }),
     });
+    this.#brittleEndpoints = new BrittleEndpoints({
+      clock,
+      nodeId: options.nodeId,
+      nodeIds: options.nodeIds,
+    });
     this.streamOrigins = new StreamOrigins({ clock });
     this.serviceVersions = new ServiceVersions({
       clock,
@@ -283,6 +290,7 @@
       }),
       limitRecorder: new LimitRecorder({
         limiter: this.endpointLimiter,
+        brittleEndpoints: this.#brittleEndpoints,
         logger,
         observer,
       }),
@@ -313,6 +321,8 @@
       endpointLimiter: this.endpointLimiter,
       outlierDetector: this.#outlierDetector,
       versions: this.serviceVersions,
+      brittleEndpoints: this.#brittleEndpoints,
+      loads: endpointLoads,
       overloadGuard: new OverloadGuard({
         loads: endpointLoads,
         latency: this.#serviceLatency,
@@ -339,6 +349,7 @@
     this.serviceVersions.recordRemoved(endpoint);
     this.#outlierDetector.forget(key);
     this.#coldStartLimiter.forget(key);
+    this.#brittleEndpoints.forget(key);
     this.endpointLimiter.forget(key);
     this.endpointLoads.forget(key);
     this.endpointLinks.forget(entry.address);
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -151,6 +151,12 @@
         this.#options.limitRecorder.record(endpoint.key, limit, options),
       onUsableHead: (headMs) =>
         this.#options.outlierDetector.recordHeadersTime(endpoint.key, headMs),
+      onBrittleness: (brittleness, options) =>
+        this.#options.limitRecorder.recordBrittleness(
+          endpoint,
+          brittleness,
+          options,
+        ),
       onSend: () => this.#recordOrigin(request, endpoint),
       onFirstEvent: () => {
         request.version ??= this.#options.versions.versionOf(endpoint);
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -86,9 +86,13 @@
       matchesRequest && !metadata.isMisdirected &&
       (metadata.isSigned || metadata.isNotRun)
     ) {
+      const isServed = !metadata.isNotRun && head.status < FIRST_ERROR_STATUS;
       this.#options.onLimit(metadata.limit, {
         sentMs: this.#sendStartMs,
-        isServed: !metadata.isNotRun && head.status < FIRST_ERROR_STATUS,
+        isServed,
+      });
+      this.#options.onBrittleness(metadata.brittleness, {
+        isRejected: metadata.isNotRun,
       });
     }
     const unusable = classifyUnusable({
--- a/packages/relay/src/send_attempt_options.ts
+++ b/packages/relay/src/send_attempt_options.ts
@@ -1,5 +1,10 @@
 import type { Clock } from "@limpetshed/base";
-import type { Endpoint, LoadTracker, NamedLimit } from "@limpetshed/dispatch";
+import type {
+  Brittleness,
+  Endpoint,
+  LoadTracker,
+  NamedLimit,
+} from "@limpetshed/dispatch";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
@@ -29,6 +34,11 @@
     limit: NamedLimit,
     options: { sentMs: number; isServed: boolean },
   ) => void;
+  /** Called with what such a response says of its endpoint's brittleness. */
+  onBrittleness: (
+    brittleness: Brittleness,
+    options: { isRejected: boolean },
+  ) => void;
   /** Called when the request is about to be sent. */
   onSend: () => void;
   /** Called before the first events of a resumable stream are passed on. */
--- a/packages/relay/src/wire_format.ts
+++ b/packages/relay/src/wire_format.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { NamedLimit, PromptInfo } from "@limpetshed/dispatch";
+import type { Brittleness, NamedLimit, PromptInfo } from "@limpetshed/dispatch";
 
 /** Metadata parsed from the headers of a client request. */
 export interface RequestMetadata {
@@ -47,6 +47,8 @@
   inFlight: number | undefined;
   /** What the endpoint says of the requests that it takes. */
   limit: NamedLimit;
+  /** Whether the endpoint goes down if it has to reject too many requests. */
+  brittleness: Brittleness;
 }
 
 /** Parses and builds the protocol headers; subclasses define their names. */
--- a/packages/relay/tests/limit_recorder_test.ts
+++ b/packages/relay/tests/limit_recorder_test.ts
@@ -1,5 +1,5 @@
 import { ManualClock } from "@limpetshed/base";
-import { EndpointLimiter } from "@limpetshed/dispatch";
+import { BrittleEndpoints, EndpointLimiter } from "@limpetshed/dispatch";
 import { makeLogger, RelayMetrics } from "@limpetshed/observe";
 import { expect } from "chai";
 import { describe, it } from "mocha";
@@ -22,6 +22,11 @@
     });
     const recorder = new LimitRecorder({
       limiter,
+      brittleEndpoints: new BrittleEndpoints({
+        clock,
+        nodeId: "n1",
+        nodeIds: () => ["n1"],
+      }),
       logger,
       observer: new TelemetryObserver({ clock, logger, metrics }),
     });
--- a/packages/relay/tests/test_wire_format.ts
+++ b/packages/relay/tests/test_wire_format.ts
@@ -1,5 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-import type { NamedLimit, PromptInfo } from "@limpetshed/dispatch";
+import type { Brittleness, NamedLimit, PromptInfo } from "@limpetshed/dispatch";
 import {
   type RequestMetadata,
   type ResponseMetadata,
@@ -59,6 +59,7 @@
       isMisdirected: status === 421,
       inFlight: undefined,
       limit: parseLimit(singleValue(headers["x-limit"])),
+      brittleness: parseBrittleness(singleValue(headers["x-brittle"])),
     };
   }
 }
@@ -79,6 +80,12 @@
     : { state: "named", requestsPerS: Number(value) };
 }
 
+function parseBrittleness(value: string | undefined): Brittleness {
+  return value === undefined
+    ? { state: "none" }
+    : { state: "named", rejectionsPerS: Number(value) };
+}
+
 function singleValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
