--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -16,7 +16,6 @@
   PeerDirectory,
   PeerServer,
   type RegistrationStore,
-  StreamLog,
   type StreamLogOptions,
 } from "@limpetshed/fleet";
 import { Rng } from "@limpetshed/hashing";
@@ -35,15 +34,13 @@
   TelemetryObserver,
   type WireFormat,
 } from "@limpetshed/relay";
-import { decodeCrashReports, encodeCrashReports } from "./crash_reports.ts";
-import { decodeCachedParts, encodeCachedParts } from "./cached_parts.ts";
 import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
-import { makeLimitHandlers } from "./limit_handlers.ts";
+import { makeStateHandlers } from "./make_state_handlers.ts";
 import { NodeTunnels } from "./node_tunnels.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
 import { StateSourceSelector } from "./state_source_selector.ts";
 import { updateGauges } from "./update_gauges.ts";
-import { StreamSharing } from "./stream_sharing.ts";
+import { StreamRecords } from "./stream_records.ts";
 
 /** Components of a node to which changes of shared state are applied. */
 export interface StateTargets {
@@ -84,12 +81,8 @@
   ) => Promise<string[]>;
 }
 
-/** Interval at which load figures of peers that have sent no datagram within the
- * liveness timeout are dropped. */
+/** Interval at which load figures of silent peers are dropped. */
 const HOUSEKEEPING_INTERVAL_MS = 500;
-/** Time after its start in which a node does not know its peers yet, so that all
- * nodes of a fleet that starts would write the same. */
-const PEER_DISCOVERY_MS = 1_500;
 
 /** Runs a relay node in a fleet: follows shared state, registers the node,
  * exchanges load with its peers and recovers placements. */
@@ -109,8 +102,7 @@
   readonly #metricsServer: MetricsServer;
   readonly #loadExchange: LoadExchange;
   readonly #registration: NodeRegistration;
-  readonly #streamLog: StreamLog;
-  readonly #streamSharing: StreamSharing;
+  readonly #streamRecords: StreamRecords;
   readonly #deferredRemovals: DeferredRemovals;
   readonly #housekeeping: RepeatingTask;
   #graceMs: number;
@@ -156,14 +148,14 @@
           droppedLogLines: options.droppedLogLines?.() ?? 0,
         }),
     });
-    this.#streamLog = this.#makeStreamLog();
     this.#loadExchange = this.#makeLoadExchange();
-    this.#streamSharing = new StreamSharing({
+    this.#streamRecords = new StreamRecords({
       clock,
       logger,
+      store: options.streamStore,
+      nodeId: settings.nodeId,
       node: this.#node,
       directory: this.#directory,
-      log: this.#streamLog,
       writerId: () => this.#sourceSelector.fleetWriterId,
       send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
     });
@@ -226,8 +218,7 @@
       this.#followers.peers.close(),
       this.#loadExchange.close(),
       this.#registration.close(),
-      this.#streamLog.close(),
-      this.#streamSharing.close(),
+      this.#streamRecords.close(),
       this.#housekeeping.close(),
     ]);
   }
@@ -343,52 +334,18 @@
     });
   }
 
-  #makeStreamLog(): StreamLog {
-    const { clock, logger, settings, streamStore } = this.#options;
-    const startedMs = clock.monotonicMs();
-    return new StreamLog({
-      clock,
-      logger,
-      ...streamStore,
-      marks: () =>
-        clock.monotonicMs() - startedMs >= PEER_DISCOVERY_MS &&
-          this.#sourceSelector.fleetWriterId === settings.nodeId
-          ? this.#node.serviceVersions.inService()
-          : [],
-    });
-  }
-
   #makeLoadExchange(): LoadExchange {
     const { clock, logger, settings } = this.#options;
-    const {
-      endpointLoads,
-      prefixCacheIndex,
-      crashSuspects,
-    } = this.#node;
     return new LoadExchange({
       clock,
       logger,
       nodeId: settings.nodeId,
       incarnation: settings.incarnation,
       directory: this.#directory,
-      localInFlight: () => endpointLoads.localCounts(),
       asOf: () => this.#mirror.asOf,
       storeConnectivity: () => this.#sourceSelector.storeConnectivity,
-      takePlacements: () => encodeCachedParts(prefixCacheIndex.takeUpdates()),
-      takeCrashReports: () => {
-        const makeReports = crashSuspects.takeReports();
-        return () => encodeCrashReports(makeReports());
-      },
-      repeatedCrashReports: () =>
-        encodeCrashReports(crashSuspects.repeatedReports()),
-      onPeerInFlight: (nodeId, counts) =>
-        endpointLoads.setPeerCounts(nodeId, counts),
-      onPlacements: (placements) =>
-        prefixCacheIndex.applyPeerUpdates(decodeCachedParts(placements)),
-      onCrashReports: (crashReports) =>
-        crashSuspects.applyPeerReports(decodeCrashReports(crashReports)),
-      limits: makeLimitHandlers(this.#node.endpointLimiter),
-      onOtherDatagram: (data) => this.#streamSharing.receive(data),
+      ...makeStateHandlers(this.#node),
+      onOtherDatagram: (data) => this.#streamRecords.sharing.receive(data),
     });
   }
 }
--- /dev/null
+++ b/packages/fleet_relay/src/stream_records.ts
@@ -0,0 +1,67 @@
+import type { Buffer } from "node:buffer";
+import type { Clock } from "@limpetshed/base";
+import {
+  type PeerDirectory,
+  StreamLog,
+  type StreamLogOptions,
+} from "@limpetshed/fleet";
+import type { Logger } from "@limpetshed/observe";
+import type { RelayNode } from "@limpetshed/relay";
+import { StreamSharing } from "./stream_sharing.ts";
+
+/** Options of {@linkcode StreamRecords}. */
+export interface StreamRecordsOptions {
+  clock: Clock;
+  logger: Logger;
+  /** Where the store keeps them. */
+  store: Pick<StreamLogOptions, "store" | "batchPrefix" | "markKey">;
+  nodeId: string;
+  node: RelayNode;
+  directory: PeerDirectory;
+  /** Id of the node that writes to the store for the fleet. */
+  writerId: () => string;
+  /** Sends datagrams to `ip:port`. */
+  send: (address: string, datagrams: readonly Buffer[]) => void;
+}
+
+/** Time after its start in which a node does not know its peers yet, so that all
+ * nodes of a fleet that starts would write the same. */
+const PEER_DISCOVERY_MS = 1_500;
+
+/** Brings to the store where the streams of a node began, and the versions in
+ * service. */
+export class StreamRecords {
+  readonly sharing: StreamSharing;
+  readonly #log: StreamLog;
+
+  constructor(
+    { clock, logger, store, nodeId, node, directory, writerId, send }:
+      StreamRecordsOptions,
+  ) {
+    const startedMs = clock.monotonicMs();
+    this.#log = new StreamLog({
+      clock,
+      logger,
+      ...store,
+      marks: () =>
+        clock.monotonicMs() - startedMs >= PEER_DISCOVERY_MS &&
+          writerId() === nodeId
+          ? node.serviceVersions.inService()
+          : [],
+    });
+    this.sharing = new StreamSharing({
+      clock,
+      logger,
+      node,
+      directory,
+      log: this.#log,
+      writerId,
+      send,
+    });
+  }
+
+  /** Stops reporting and writing. */
+  async close(): Promise<void> {
+    await Promise.all([this.sharing.close(), this.#log.close()]);
+  }
+}
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -21,11 +21,8 @@
   type SendMetadata,
   WireFormat,
 } from "./wire_format.ts";
-export {
-  type PolicyDependencies,
-  RelayNode,
-  type RelayNodeOptions,
-} from "./relay_node.ts";
+export type { PolicyDependencies } from "./policy_dependencies.ts";
+export { RelayNode, type RelayNodeOptions } from "./relay_node.ts";
 export {
   TelemetryObserver,
   type TelemetryObserverOptions,
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -31,6 +31,7 @@
 import { GracefulShutdown, UNREADY_DETECTION_MS } from "./graceful_shutdown.ts";
 import { type HelperTunnels, NoTunnels } from "./helper_tunnels.ts";
 import { LimitRecorder } from "./limit_recorder.ts";
+import type { PolicyDependencies } from "./policy_dependencies.ts";
 import { ReadinessServer } from "./readiness_server.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import { RelayServer } from "./relay_server.ts";
@@ -41,13 +42,6 @@
 } from "./stream_origin_resolver.ts";
 import type { WireFormat } from "./wire_format.ts";
 
-/** State that endpoint policies read. */
-export interface PolicyDependencies {
-  endpointLoads: LoadTracker;
-  prefixCacheIndex: PrefixCacheIndex;
-  registry: EndpointRegistry;
-}
-
 /** Options of {@linkcode RelayNode}. */
 export interface RelayNodeOptions {
   clock: Clock;
@@ -81,7 +75,6 @@
 /** Time until the entry of an endpoint that ended lapses: several missed
  * heartbeats, which endpoints send each second. */
 const ENTRY_LAPSE_MS = 4_000;
-/** Interval at which a draining node checks for requests in flight. */
 const DRAIN_POLL_INTERVAL_MS = 50;
 /** Fraction of an endpoint's connection limit shared by the current nodes; the
  * rest is reserved for nodes that are starting. */
@@ -99,7 +92,6 @@
   readonly endpointLimiter: EndpointLimiter;
   /** Where streams began that clients may resume. */
   readonly streamOrigins: StreamOrigins;
-  /** Software versions of the endpoints of each service. */
   readonly serviceVersions: ServiceVersions;
   readonly endpointLinks: EndpointLinks;
   readonly #options: RelayNodeOptions;
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -8,7 +8,6 @@
   type LoadTracker,
   mayRetry,
   type NoChoice,
-  type NoChoiceReason,
   type OutlierDetector,
   type RetryBudget,
   type SendOutcome,
@@ -17,17 +16,16 @@
   streamKey,
   type StreamOrigins,
 } from "@limpetshed/dispatch";
-import { RouterError } from "@limpetshed/errors";
 import type { RouteTable } from "@limpetshed/routing";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { CrashGuard } from "./crash_guard.ts";
+import { abortError, attemptError, noEndpointError } from "./forward_errors.ts";
 import type { LimitRecorder } from "./limit_recorder.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
 import { SendAttempt } from "./send_attempt.ts";
 import type { SendResult } from "./send_result.ts";
-import { RESUMPTION_RETRY_AFTER_MS } from "./stream_origin_resolver.ts";
 import { SseFramer } from "./sse_framer.ts";
 import type { WireFormat } from "./wire_format.ts";
 
@@ -51,10 +49,6 @@
   routeTable: () => RouteTable | undefined;
 }
 
-/** Default `retry-after`. By then a full or unreachable endpoint has likely
- * recovered, and the clients' own retry delay is at least as long. */
-const RETRY_AFTER_MS = 300;
-
 /** Forwards a request to endpoints, retrying within the route's limits, until
  * one of them has answered it. */
 export class RequestForwarder {
@@ -333,56 +327,3 @@
   return outcome === "failed" || outcome === "lost" || outcome === "broken" ||
     outcome === "delivered";
 }
-
-function noEndpointError(
-  request: RelayRequest,
-  reason: NoChoiceReason,
-  waitMs = 0,
-): RouterError {
-  if (request.mayHaveRun) {
-    return new RouterError("endpoint_failed", "no endpoint is left to try");
-  }
-  if (reason === "version_gone") {
-    return new RouterError(
-      "stream_version_gone",
-      "no endpoint has the software version that began the stream",
-      { retryAfterMs: RESUMPTION_RETRY_AFTER_MS },
-    );
-  }
-  const wasAttempted = request.receivedAttempts > 0 ||
-    request.counts.unsent > 0;
-  return new RouterError(
-    wasAttempted ? "endpoint_unreachable" : "no_endpoint",
-    `no endpoint can take the request: ${reason}`,
-    { retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) },
-  );
-}
-
-function attemptError(request: RelayRequest, result: SendResult): RouterError {
-  if (request.mayHaveRun) {
-    return new RouterError("endpoint_failed", "the endpoint did not answer");
-  }
-  return result.outcome === "not_sent"
-    ? new RouterError("endpoint_unreachable", "no endpoint could be reached", {
-      retryAfterMs: RETRY_AFTER_MS,
-    })
-    : new RouterError("endpoint_refused", "the endpoint refused the request", {
-      retryAfterMs: RETRY_AFTER_MS,
-    });
-}
-
-function abortError(request: RelayRequest): RouterError {
-  const reason = request.signal.reason as AbortReason;
-  if (reason === "caller_gone") {
-    return new RouterError(
-      "caller_cancelled",
-      "the caller went away",
-    );
-  }
-  return request.mayHaveRun
-    ? new RouterError("deadline_exceeded", "no answer within the time limit")
-    : new RouterError(
-      "deadline_before_start",
-      "not sent within the limit",
-    );
-}
