--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -24,8 +24,7 @@
   KeyMirror,
   MirrorFollower,
 } from "@limpetshed/mirror";
-import type { RelayMetrics } from "@limpetshed/observe";
-import { type Logger } from "@limpetshed/observe";
+import type { Logger, RelayMetrics } from "@limpetshed/observe";
 import {
   DirectConnector,
   type EndpointConnector,
@@ -174,15 +173,14 @@
 
   /** Starts listening. */
   async start(): Promise<void> {
-    const { settings, logger } = this.#options;
-    const { listen } = settings;
+    const { settings: { nodeId, listen }, logger } = this.#options;
     await this.#peerServer.listen(listen.calls);
     await this.#loadExchange.listen(listen.datagrams);
     if (listen.metrics !== undefined) {
       await this.#metricsServer.listen(listen.metrics);
     }
     await this.#node.listen(listen);
-    logger.info({ event: "start", node: settings.nodeId, ...listen });
+    logger.info({ event: "start", node: nodeId, ...listen });
     this.#node.config.onChange(() => this.#recovery.start());
     if (this.#node.config.table !== undefined) {
       this.#recovery.start();
