fix(fleet_relay): count the store as lost only until it answers again

Callers: requests reach an endpoint for up to 5 s after it has said that it leaves, at a node whose links to other nodes are slow.

Cause: a node that does not poll the store counts it as lost for 5 s after a failed call, also if a later call succeeded. In that time it does not read the store, however old its state is.

Evidence: in "reaches nodes whose peers are too slow within the drain time" the first call of node 0 fails at 1,658 ms of the run, the next one succeeds at 1,796 ms, and it learns of the change at 6,655 ms, 5 s after the failure, though its state is stale from 5,400 ms on. This explains 2,003 to 2,073 ms after the change; the stream records only made the first call fail more often.

Fix: a success that is later than the last failure ends the state.

Result: the new test failed before ("lost" for "unknown").

--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -69,14 +69,21 @@
     this.#seeds = seeds;
   }
 
-  /** This node's connectivity to the store. */
+  /** This node's connectivity to the store. Unknown while the store is not
+   * polled, unless the last call failed a moment ago. */
   get storeConnectivity(): StoreConnectivity {
-    if (this.#storeFollower === undefined || this.#storeFollower.isReachable) {
-      return this.#storeFollower === undefined ? "unknown" : "open";
+    const follower = this.#storeFollower;
+    if (follower === undefined) {
+      return "unknown";
     }
-    const msSinceFailure = this.#options.clock.monotonicMs() -
-      this.#storeFollower.lastFailureMs;
-    return msSinceFailure <= STORE_COOLDOWN_MS ? "lost" : "unknown";
+    if (follower.isReachable) {
+      return "open";
+    }
+    const { lastSuccessMs, lastFailureMs } = follower;
+    const msSinceFailure = this.#options.clock.monotonicMs() - lastFailureMs;
+    return lastFailureMs > lastSuccessMs && msSinceFailure <= STORE_COOLDOWN_MS
+      ? "lost"
+      : "unknown";
   }
 
   /** Whether this node watches the store. A node without any state always does,
--- a/packages/fleet_relay/tests/state_source_selector_test.ts
+++ b/packages/fleet_relay/tests/state_source_selector_test.ts
@@ -21,6 +21,7 @@
   const mirror = new KeyMirror();
   const follower = {
     isReachable: true,
+    lastSuccessMs: Number.NEGATIVE_INFINITY,
     lastFailureMs: Number.NEGATIVE_INFINITY,
   };
   const selector = new StateSourceSelector({
@@ -140,6 +141,24 @@
     expect(selector.shouldReadStore).to.equal(false);
   });
 
+  // A node whose first call failed did not read the store for 5 s, though the
+  // store had answered since, and learnt late that an endpoint leaves.
+  it("reads the store after a failed call that another one followed", async () => {
+    const { clock, selector, follower, announcePeers, setKnownRevision } =
+      setUp({ zones: "aaaa" });
+    await clock.advance(100);
+    follower.lastFailureMs = 100;
+    await clock.advance(100);
+    follower.lastSuccessMs = 200;
+    follower.isReachable = false;
+    setKnownRevision(5);
+    await clock.advance(1_101);
+    announcePeers(5);
+    expect(selector.isWatcher).to.equal(false);
+    expect(selector.storeConnectivity).to.equal("unknown");
+    expect(selector.shouldReadStore).to.equal(true);
+  });
+
   it("does not read the store while its connection to it is lost", async () => {
     const { clock, selector, follower, announcePeers, setKnownRevision } =
       setUp({ zones: "aaaa" });
