test(relay): show that a stream goes on at an endpoint that came back at another version

Callers: a stream of one software version goes on at another one, if its endpoint restarts with the same id and address and the stream is resumed before the endpoint's new entry is seen.

Cause: the version is that of the entry, though a new connection does not prove that the process behind it is the one that wrote the entry.

Evidence: the test resumes a stream on a new connection while the node's view of the store is older than the connection; events of v2 follow one of v1. The fixture takes the age of the node's view for it.

--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -100,6 +100,10 @@
   /** Lines logged by the node. */
   readonly logLines: string[] = [];
 
+  /** Time at which the node's view was confirmed as current last; always now by
+   * default. */
+  viewConfirmedMs = Number.POSITIVE_INFINITY;
+
   constructor() {
     const clock = new SystemClock();
     const logger = makeLogger({
@@ -117,6 +121,7 @@
         logger,
         metrics: new RelayMetrics(),
       }),
+      view: { confirmedMs: () => this.viewConfirmedMs },
       makePolicy: ({ endpointLoads }) =>
         new LeastLoadedPolicy({ loads: endpointLoads }),
       retryLimits: { ratio: 1, slack: 100, windowMs: 10_000 },
--- a/packages/relay/tests/software_version_test.ts
+++ b/packages/relay/tests/software_version_test.ts
@@ -155,4 +155,17 @@
     expect(res.status).to.equal(NOT_RUN_STATUS);
     expect(fixture.endpoints[0]!.requests).to.have.length(before);
   });
+
+  // An endpoint came back with its id and address at another version, and a
+  // stream of the old one went on there before its new entry was seen.
+  it("does not resume on a connection newer than the entry of its endpoint", async () => {
+    await start(brokenStream, ["v1"]);
+    await fixture.send("/resume/", { id: "r1" });
+    fixture.viewConfirmedMs = performance.now();
+    fixture.endpoints[0]!.handler = breakingStream("v2");
+    const res = await fixture.send("/resume/", {
+      headers: { "x-resumes": "r1", "last-event-id": "1" },
+    });
+    expect(versionsIn(res)).to.deep.equal([]);
+  });
 });
