fix(mirror): bring changes to every node within a budget, by class of keys

What callers saw: requests were handled by a configuration that had been replaced, or reached an endpoint that leaves, over 3 s after the store had acknowledged the change.

Cause: a node without current peers read the store by one watch of all keys, 2 s without a byte at most, and not again for 5 s after a failure. The steps each had a sensible limit, but their sum was over 8 s.

The bound, the shorter of drain time and time for a configuration to apply, is now divided among the steps (PropagationBudget). A node whose state is 0.4 of it old reads the store; after 0.125 without an answer, again by class of keys on connections of their own, beside the first call. The mirror keeps a revision and an age for each class, so an endpoint that leaves does not wait for a configuration on its way. Only when no live node reaches the store do others than watchers pause for 5 s. Observed by limpetshed_state_age_seconds{keys}, limpetshed_change_age_seconds{keys}, state_refresh and state_late.

--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -22,6 +22,7 @@
   readonly #clock: Clock;
   readonly #selectPeer: PeerChangeSourceOptions["selectPeer"];
   readonly #client: PeerClient;
+  #address: string | undefined;
 
   constructor({ clock, selectPeer }: PeerChangeSourceOptions) {
     super();
@@ -30,6 +31,11 @@
     this.#client = new PeerClient({ clock });
   }
 
+  /** `ip:port` of the node called last; undefined before the first call. */
+  get address(): string | undefined {
+    return this.#address;
+  }
+
   /** Closes the connection to the node called last. */
   close(): void {
     this.#client.close();
@@ -56,6 +62,7 @@
     if (address === undefined) {
       throw new Error("no peer is known");
     }
+    this.#address = address;
     const path = `${CHANGES_PATH}?after=${revision}`;
     const { value, headers, headMs } = await this.#client.getJson(address, {
       path,
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -12,17 +12,17 @@
 import {
   LoadExchange,
   NodeRegistration,
-  PeerChangeSource,
   PeerDirectory,
   PeerServer,
   type RegistrationStore,
   type StreamLogOptions,
 } from "@limpetshed/fleet";
 import { Rng } from "@limpetshed/hashing";
-import {
-  type ChangeSource,
+import type {
+  ChangeReader,
+  ChangeSource,
+  KeyClass,
   KeyMirror,
-  MirrorFollower,
 } from "@limpetshed/mirror";
 import type { Logger, RelayMetrics } from "@limpetshed/observe";
 import {
@@ -37,7 +37,7 @@
 import { makeStateHandlers } from "./make_state_handlers.ts";
 import { NodeTunnels } from "./node_tunnels.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
-import { StateSourceSelector } from "./state_source_selector.ts";
+import { StateReplica } from "./state_replica.ts";
 import { updateGauges } from "./update_gauges.ts";
 import { StreamRecords } from "./stream_records.ts";
 
@@ -65,7 +65,9 @@
   /** Path of the load balancer's readiness check. */
   readinessPath: string;
   /** Reads shared state from the store. */
-  storeSource: ChangeSource;
+  storeSource: ChangeSource & ChangeReader;
+  /** Classes of the keys of shared state. */
+  keyClasses: readonly KeyClass[];
   registration: { store: RegistrationStore; key: string; value: string };
   /** Opens connections to endpoints over this node's own links. */
   connector?: EndpointConnector;
@@ -88,15 +90,12 @@
 export class FleetRelay {
   readonly #options: FleetRelayOptions;
   readonly #rng: Rng;
-  readonly #mirror = new KeyMirror();
   readonly #directory: PeerDirectory;
   readonly #directConnector: EndpointConnector;
   readonly #tunnels: NodeTunnels;
   readonly #node: RelayNode;
-  readonly #sourceSelector: StateSourceSelector;
+  readonly #state: StateReplica;
   readonly #recovery: PlacementRecovery;
-  readonly #peerSource: PeerChangeSource;
-  readonly #followers: { store: MirrorFollower; peers: MirrorFollower };
   readonly #peerServer: PeerServer;
   readonly #metricsServer: MetricsServer;
   readonly #loadExchange: LoadExchange;
@@ -114,17 +113,22 @@
     this.#directory = new PeerDirectory({ clock, selfId: settings.nodeId });
     this.#directConnector = options.connector ?? new DirectConnector({ clock });
     this.#tunnels = this.#makeTunnels();
-    this.#node = this.#makeNode();
-    this.#sourceSelector = this.#makeSourceSelector();
-    this.#recovery = this.#makeRecovery();
-    this.#peerSource = new PeerChangeSource({
+    this.#state = new StateReplica({
       clock,
-      selectPeer: () => this.#sourceSelector.selectPeer(),
+      logger,
+      metrics: options.metrics,
+      rng: this.#rng,
+      settings,
+      directory: this.#directory,
+      storeSource: options.storeSource,
+      keyClasses: options.keyClasses,
     });
-    this.#followers = this.#makeFollowers();
+    const { mirror } = this.#state;
+    this.#node = this.#makeNode();
+    this.#recovery = this.#makeRecovery();
     this.#deferredRemovals = this.#makeDeferredRemovals();
     options.subscribeToState({
-      mirror: this.#mirror,
+      mirror,
       node: this.#node,
       deferredRemovals: this.#deferredRemovals,
       directory: this.#directory,
@@ -132,7 +136,7 @@
     this.#peerServer = new PeerServer({
       clock,
       tunnels: this.#tunnels.given,
-      mirror: this.#mirror,
+      mirror,
       placements: () => this.#recovery.encodedPlacements(),
     });
     this.#metricsServer = new MetricsServer({
@@ -141,9 +145,7 @@
         updateGauges(options.metrics, {
           node: this.#node,
           directory: this.#directory,
-          followers: this.#followers,
-          stateRevision: this.#mirror.asOf,
-          stateAgeMs: this.#stateAgeMs,
+          state: this.#state,
           droppedLogLines: options.droppedLogLines?.() ?? 0,
         }),
     });
@@ -155,7 +157,7 @@
       nodeId: settings.nodeId,
       node: this.#node,
       directory: this.#directory,
-      writerId: () => this.#sourceSelector.fleetWriterId,
+      writerId: () => this.#state.sourceSelector.fleetWriterId,
       send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
     });
     this.#registration = new NodeRegistration({
@@ -190,7 +192,7 @@
   /** Applies the settings that can change at runtime. */
   reload({ graceMs, seeds }: { graceMs: number; seeds: readonly string[] }) {
     this.#graceMs = graceMs;
-    this.#sourceSelector.setSeeds(seeds);
+    this.#state.sourceSelector.setSeeds(seeds);
   }
 
   /** Lets requests in flight finish within the grace period, then closes. */
@@ -210,10 +212,8 @@
     this.#tunnels.given.close();
     this.#peerServer.close();
     this.#metricsServer.close();
-    this.#peerSource.close();
     await Promise.all([
-      this.#followers.store.close(),
-      this.#followers.peers.close(),
+      this.#state.close(),
       this.#loadExchange.close(),
       this.#registration.close(),
       this.#streamRecords.close(),
@@ -221,12 +221,6 @@
     ]);
   }
 
-  /** Time since the shared state was confirmed as current; infinite before the
-   * first read. */
-  get #stateAgeMs(): number {
-    return this.#options.clock.monotonicMs() - this.#mirror.confirmedMs;
-  }
-
   #makeNode(): RelayNode {
     const { clock, logger, settings, format, metrics, readinessPath } =
       this.#options;
@@ -241,11 +235,11 @@
         clock,
         logger,
         metrics,
-        stateAgeMs: () => this.#stateAgeMs,
+        stateAgeMs: () => this.#state.ageMs,
       }),
       directConnector: this.#directConnector,
       tunnels: this.#tunnels.asked,
-      view: { confirmedMs: () => this.#mirror.confirmedMs },
+      view: { confirmedMs: () => this.#state.mirror.confirmedMs },
       makePolicy: (
         { endpointLoads, prefixCacheIndex, registry },
       ) =>
@@ -263,20 +257,6 @@
     });
   }
 
-  #makeSourceSelector(): StateSourceSelector {
-    const { clock, settings } = this.#options;
-    return new StateSourceSelector({
-      clock,
-      rng: this.#rng,
-      nodeId: settings.nodeId,
-      availabilityZone: settings.availabilityZone,
-      ownAddress: settings.listen.calls,
-      directory: this.#directory,
-      mirror: this.#mirror,
-      seeds: settings.seeds,
-    });
-  }
-
   #makeRecovery(): PlacementRecovery {
     const { clock, logger, settings, fetchCachedPartIds } = this.#options;
     return new PlacementRecovery({
@@ -291,30 +271,12 @@
     });
   }
 
-  #makeFollowers(): { store: MirrorFollower; peers: MirrorFollower } {
-    const { clock, logger, storeSource } = this.#options;
-    const selector = this.#sourceSelector;
-    const shared = { clock, logger, mirror: this.#mirror };
-    const store = new MirrorFollower({
-      ...shared,
-      source: storeSource,
-      isEnabled: () => selector.shouldReadStore,
-    });
-    selector.setStoreFollower(store);
-    const peers = new MirrorFollower({
-      ...shared,
-      source: this.#peerSource,
-      isEnabled: () => selector.shouldFollowPeers,
-    });
-    return { store, peers };
-  }
-
   #makeDeferredRemovals(): DeferredRemovals {
     const { clock, settings } = this.#options;
     return new DeferredRemovals({
       clock,
       registry: this.#node.registry,
-      lastOutageEndMs: () => this.#followers.store.lastOutageEndMs,
+      lastOutageEndMs: () => this.#state.lastOutageEndMs,
       drainMs: settings.drainMs,
     });
   }
@@ -340,8 +302,8 @@
       nodeId: settings.nodeId,
       incarnation: settings.incarnation,
       directory: this.#directory,
-      asOf: () => this.#mirror.asOf,
-      storeConnectivity: () => this.#sourceSelector.storeConnectivity,
+      asOf: () => this.#state.mirror.asOf,
+      storeConnectivity: () => this.#state.sourceSelector.storeConnectivity,
       ...makeStateHandlers(this.#node),
       onOtherDatagram: (data) => this.#streamRecords.sharing.receive(data),
     });
--- a/packages/fleet_relay/src/fleet_relay_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -36,4 +36,6 @@
   /** Limits on requests to a cold endpoint: one that has started recently and
    * cannot serve its full rate yet. */
   coldLimits: ColdStartLimits;
+  /** Time within which a change of shared state must be in force, milliseconds. */
+  propagationMs: number;
 }
--- /dev/null
+++ b/packages/fleet_relay/src/state_replica.ts
@@ -0,0 +1,152 @@
+import type { Clock } from "@limpetshed/base";
+import { PeerChangeSource, type PeerDirectory } from "@limpetshed/fleet";
+import type { Rng } from "@limpetshed/hashing";
+import {
+  type ChangeReader,
+  type ChangeSource,
+  type KeyClass,
+  KeyMirror,
+  makePropagationBudget,
+  MirrorFollower,
+  StateRefresher,
+} from "@limpetshed/mirror";
+import type { Logger, RelayMetrics } from "@limpetshed/observe";
+import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
+import { StateSourceSelector } from "./state_source_selector.ts";
+
+/** Options of {@linkcode StateReplica}. */
+export interface StateReplicaOptions {
+  clock: Clock;
+  logger: Logger;
+  metrics: RelayMetrics;
+  rng: Rng;
+  settings: Pick<
+    FleetRelaySettings,
+    "nodeId" | "availabilityZone" | "listen" | "seeds" | "propagationMs"
+  >;
+  directory: PeerDirectory;
+  /** Reads shared state from the store. */
+  storeSource: ChangeSource & ChangeReader;
+  /** Reads shared state from other nodes; by default over HTTP. */
+  makePeerSource?: (selectPeer: () => string | undefined) => PeerSource;
+  /** Classes of the keys of shared state. */
+  keyClasses: readonly KeyClass[];
+}
+
+/** A source of changes that calls other nodes. */
+export type PeerSource =
+  & ChangeSource
+  & Pick<PeerChangeSource, "address" | "close">;
+
+/** This node's copy of the shared state: follows the store or other nodes, and
+ * reads the store itself when neither confirms the copy in time. */
+export class StateReplica {
+  readonly mirror: KeyMirror;
+  readonly sourceSelector: StateSourceSelector;
+  readonly followers: { store: MirrorFollower; peers: MirrorFollower };
+  readonly #clock: Clock;
+  readonly #peerSource: PeerSource;
+  readonly #refresher: StateRefresher;
+
+  constructor(options: StateReplicaOptions) {
+    const { clock, logger, settings, directory, storeSource } = options;
+    this.#clock = clock;
+    this.mirror = new KeyMirror({ classes: options.keyClasses });
+    this.sourceSelector = new StateSourceSelector({
+      clock,
+      rng: options.rng,
+      nodeId: settings.nodeId,
+      availabilityZone: settings.availabilityZone,
+      ownAddress: settings.listen.calls,
+      directory,
+      mirror: this.mirror,
+      seeds: settings.seeds,
+    });
+    const { makePeerSource = makeHttpSource(clock) } = options;
+    this.#peerSource = makePeerSource(() => this.sourceSelector.selectPeer());
+    this.followers = this.#makeFollowers(options);
+    this.#refresher = new StateRefresher({
+      clock,
+      logger,
+      mirror: this.mirror,
+      reader: storeSource,
+      budget: makePropagationBudget(settings.propagationMs),
+      isStoreReachedByPeers: () => this.sourceSelector.isStoreReachedByPeers,
+      describeSources: () => ({
+        storeCallMs: roundIfKnown(this.followers.store.pendingMs),
+        peerCallMs: roundIfKnown(this.followers.peers.pendingMs),
+        peer: this.#peerSource.address,
+      }),
+    });
+    this.mirror.onChange((_change, { maxAgeMs, keyClass }) => {
+      if (Number.isFinite(maxAgeMs)) {
+        const labels = { keys: keyClass };
+        options.metrics.timing(
+          "limpetshed_change_age_seconds",
+          maxAgeMs,
+          labels,
+        );
+      }
+    });
+  }
+
+  /** Time since the state was confirmed as current, milliseconds; infinite
+   * before the first read. */
+  get ageMs(): number {
+    return this.#clock.monotonicMs() - this.mirror.confirmedMs;
+  }
+
+  /** As `ageMs`, by class of keys. */
+  classAges(): { name: string; ageMs: number }[] {
+    const now = this.#clock.monotonicMs();
+    return this.mirror.classes.map((keyClass) => ({
+      name: keyClass.name,
+      ageMs: now - this.mirror.classConfirmedMs(keyClass),
+    }));
+  }
+
+  /** Monotonic time at which the last outage of the store ended; negative
+   * infinity if there was none. */
+  get lastOutageEndMs(): number {
+    return this.followers.store.lastOutageEndMs;
+  }
+
+  /** Ends all calls in progress. */
+  async close(): Promise<void> {
+    this.#peerSource.close();
+    await Promise.all([
+      this.followers.store.close(),
+      this.followers.peers.close(),
+      this.#refresher.close(),
+    ]);
+  }
+
+  #makeFollowers(
+    { clock, logger, storeSource }: StateReplicaOptions,
+  ): StateReplica["followers"] {
+    const selector = this.sourceSelector;
+    const shared = { clock, logger, mirror: this.mirror };
+    const store = new MirrorFollower({
+      ...shared,
+      source: storeSource,
+      isEnabled: () => selector.isWatcher,
+    });
+    selector.setStoreFollower(store);
+    const peers = new MirrorFollower({
+      ...shared,
+      source: this.#peerSource,
+      isEnabled: () => selector.shouldFollowPeers,
+    });
+    return { store, peers };
+  }
+}
+
+function makeHttpSource(
+  clock: Clock,
+): (selectPeer: () => string | undefined) => PeerSource {
+  return (selectPeer) => new PeerChangeSource({ clock, selectPeer });
+}
+
+function roundIfKnown(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -35,16 +35,11 @@
  * nodes are connected to the store. */
 const STORE_COOLDOWN_MS = 5_000;
 
-/** A node whose state has not been confirmed as current for this long,
- * milliseconds, reads the store itself. Longer than an idle watch of the store
- * waits, and leaves time for that read within the drain time of endpoints. */
-const MAX_STATE_AGE_MS = 1_100;
-
 /** Bounds the cost of a change for the busiest node, so that it does not grow
  * with the fleet. */
 const MAX_FOLLOWERS_PER_NODE = 8;
 
-/** Decides whether a node reads the store, follows another node, or both. */
+/** Decides whether a node watches the store, follows another node, or both. */
 export class StateSourceSelector {
   readonly #options: StateSourceSelectorOptions;
   #seeds: readonly string[];
@@ -99,12 +94,10 @@
     return this.#watcherIds()[0]!;
   }
 
-  /** Whether this node reads the store: as a watcher, or because its peers do not
-   * keep it up to date. Not within the cooldown after a failed call, so that an
-   * outage of the store does not turn the whole fleet into its callers. */
-  get shouldReadStore(): boolean {
-    return this.isWatcher ||
-      (this.#isStateStale && this.storeConnectivity !== "lost");
+  /** Whether a live peer tells that it reaches the store. */
+  get isStoreReachedByPeers(): boolean {
+    return this.#options.directory.livePeers()
+      .some(({ storeConnectivity }) => storeConnectivity === "open");
   }
 
   /** Whether this node reads changes from other nodes. A watcher does so only
@@ -168,11 +161,6 @@
     return sameZone.find(({ id }) => id === parentId);
   }
 
-  get #isStateStale(): boolean {
-    const { clock, mirror } = this.#options;
-    return clock.monotonicMs() - mirror.confirmedMs > MAX_STATE_AGE_MS;
-  }
-
   /** Ids of the nodes that watch the store, as this node sees the fleet. */
   #watcherIds(): string[] {
     const { nodeId, availabilityZone, directory } = this.#options;
--- a/packages/fleet_relay/tests/state_source_selector_test.ts
+++ b/packages/fleet_relay/tests/state_source_selector_test.ts
@@ -122,55 +122,27 @@
     expect(PEERS.map((id) => `${id}:1`)).to.include(selector.selectPeer());
   });
 
-  // Nodes whose peers did not pass on changes in time kept sending requests to
-  // endpoints that had said that they leave.
-  it("reads the store if its state has not been confirmed in time", async () => {
-    const { clock, selector, announcePeers, setKnownRevision } = setUp({
-      zones: "aaaa",
-    });
-    setKnownRevision(5);
-    announcePeers(5);
-    await clock.advance(1_100);
-    announcePeers(5);
-    expect([selector.isWatcher, selector.shouldReadStore])
-      .to.deep.equal([false, false]);
-    await clock.advance(1);
-    expect([selector.isWatcher, selector.shouldReadStore])
-      .to.deep.equal([false, true]);
-    setKnownRevision(5);
-    expect(selector.shouldReadStore).to.equal(false);
-  });
-
-  // A node whose first call failed did not read the store for 5 s, though the
+  // A node whose first call failed counted the store as lost for 5 s, though the
   // store had answered since, and learnt late that an endpoint leaves.
-  it("reads the store after a failed call that another one followed", async () => {
-    const { clock, selector, follower, announcePeers, setKnownRevision } =
-      setUp({ zones: "aaaa" });
+  it("counts the store as lost only until it answers again", async () => {
+    const { clock, selector, follower } = setUp({ zones: "aaaa" });
     await clock.advance(100);
     follower.lastFailureMs = 100;
+    follower.isReachable = false;
+    expect(selector.storeConnectivity).to.equal("lost");
     await clock.advance(100);
     follower.lastSuccessMs = 200;
-    follower.isReachable = false;
-    setKnownRevision(5);
-    await clock.advance(1_101);
-    announcePeers(5);
-    expect(selector.isWatcher).to.equal(false);
     expect(selector.storeConnectivity).to.equal("unknown");
-    expect(selector.shouldReadStore).to.equal(true);
   });
 
-  it("does not read the store while its connection to it is lost", async () => {
-    const { clock, selector, follower, announcePeers, setKnownRevision } =
-      setUp({ zones: "aaaa" });
-    setKnownRevision(5);
-    await clock.advance(2_000);
-    announcePeers(5);
-    follower.isReachable = false;
-    follower.lastFailureMs = 2_000;
-    expect(selector.shouldReadStore).to.equal(false);
-    await clock.advance(5_001);
-    announcePeers(5);
-    expect(selector.shouldReadStore).to.equal(true);
+  it("knows whether a live peer reaches the store", async () => {
+    const { clock, selector, announcePeers } = setUp();
+    announcePeers(5, "lost");
+    expect(selector.isStoreReachedByPeers).to.equal(false);
+    announcePeers(5, "open");
+    expect(selector.isStoreReachedByPeers).to.equal(true);
+    await clock.advance(1_501);
+    expect(selector.isStoreReachedByPeers).to.equal(false);
   });
 
   it("limits the followers of each node", () => {
--- a/packages/mirror/src/change_source.ts
+++ b/packages/mirror/src/change_source.ts
@@ -1,3 +1,5 @@
+import type { KeyClass } from "./key_class.ts";
+
 /** A write or deletion of one key; `value` is undefined for a deletion. */
 export interface KeyChange {
   key: string;
@@ -6,8 +8,11 @@
   revision: number;
 }
 
-/** How old an update is and who sent it. */
+/** What an update covers, how old it is and who sent it. */
 export interface UpdateProvenance {
+  /** Name of the class of keys that the update is complete for; all keys if
+   * undefined. */
+  keyClass?: string;
   /** Time that has passed, at most, since the store held the state of the update
    * as its newest, milliseconds; over all nodes that passed the update on. 0 if
    * missing. */
@@ -24,7 +29,7 @@
   asOf: number;
 }
 
-/** All existing keys; sent for the first read and when the changes since a
+/** All existing keys of what the update covers; sent for the first read and when the changes since a
  * revision are no longer available. */
 export interface Snapshot extends UpdateProvenance {
   kind: "snapshot";
@@ -66,3 +71,21 @@
     options: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot>;
 }
+
+/** Options of {@linkcode ChangeReader.read}. */
+export interface ReadChangesOptions {
+  /** The keys to read; all if undefined. */
+  keyClass: KeyClass | undefined;
+  /** Revision up to which they are known. */
+  after: number;
+  signal: AbortSignal;
+  /** Called for each part of the response that arrives. */
+  onProgress: () => void;
+}
+
+/** Reads what has changed without waiting for a change. */
+export interface ChangeReader {
+  /** Each call uses a connection on which no other call waits. Rejects if the
+   * source is unreachable; has no time limit but `signal`. */
+  read(options: ReadChangesOptions): Promise<ChangeBatch | Snapshot>;
+}
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -1,11 +1,14 @@
 /** A local replica of watched keys, updated from the store or other nodes. */
 export {
   type ChangeBatch,
+  type ChangeReader,
   ChangeSource,
   type KeyChange,
+  type ReadChangesOptions,
   type Snapshot,
   type UpdateProvenance,
 } from "./change_source.ts";
+export { type KeyClass } from "./key_class.ts";
 export {
   type ChangeOrigin,
   KeyMirror,
@@ -16,3 +19,11 @@
   MirrorFollower,
   type MirrorFollowerOptions,
 } from "./mirror_follower.ts";
+export {
+  makePropagationBudget,
+  type PropagationBudget,
+} from "./propagation_budget.ts";
+export {
+  StateRefresher,
+  type StateRefresherOptions,
+} from "./state_refresher.ts";
--- a/packages/mirror/src/key_mirror.ts
+++ b/packages/mirror/src/key_mirror.ts
@@ -1,9 +1,12 @@
 import type { ChangeBatch, KeyChange, Snapshot } from "./change_source.ts";
+import { ALL_KEYS, findKeyClass, type KeyClass } from "./key_class.ts";
 
 /** How a change reached this node. */
 export interface ChangeOrigin {
   /** `ip:port` of the node that sent it; undefined if the store did. */
   sender: string | undefined;
+  /** Name of the class of its key. */
+  keyClass: string;
   /** Upper bound of the time since the change happened, milliseconds; infinite
    * for the first state of this node. */
   maxAgeMs: number;
@@ -20,6 +23,14 @@
 /** Called with each change applied to the mirror. */
 export type MirrorListener = (change: KeyChange, origin: ChangeOrigin) => void;
 
+/** How far a class of keys is known. */
+interface ClassState {
+  readonly keyClass: KeyClass;
+  /** Revision up to which all changes of the class are applied. */
+  asOf: number;
+  confirmedMs: number;
+}
+
 const UNKNOWN_TIMES: UpdateTimes = {
   receivedMs: Number.POSITIVE_INFINITY,
   confirmedMs: Number.NEGATIVE_INFINITY,
@@ -31,28 +42,58 @@
 
 /**
  * A local replica of the watched keys, which can be updated from several
- * sources. Revisions are monotonic: a change at or below the revision already
- * applied for its key is ignored.
+ * sources, by class of keys or all at once. Revisions are monotonic in each
+ * class: a change at or below the revision already applied is ignored.
  */
 export class KeyMirror {
+  readonly #classes: readonly KeyClass[];
+  readonly #states: ReadonlyMap<string, ClassState>;
   readonly #entries = new Map<string, KeyChange>();
   readonly #recentChanges: KeyChange[] = [];
   readonly #listeners: MirrorListener[] = [];
   readonly #waiters = new Set<() => void>();
   /** Changes at or below this revision are no longer retained. */
   #compactedRevision = 0;
-  #asOf = 0;
-  #confirmedMs = Number.NEGATIVE_INFINITY;
+
+  /** `classes` must cover all keys. */
+  constructor(
+    { classes = [ALL_KEYS] }: { classes?: readonly KeyClass[] } = {},
+  ) {
+    this.#classes = classes;
+    this.#states = new Map(
+      classes.map((keyClass): [string, ClassState] => [
+        keyClass.name,
+        { keyClass, asOf: 0, confirmedMs: Number.NEGATIVE_INFINITY },
+      ]),
+    );
+  }
+
+  /** The classes of keys that are told apart. */
+  get classes(): readonly KeyClass[] {
+    return this.#classes;
+  }
 
   /** Revision up to which all changes are applied; 0 before the first read. */
   get asOf(): number {
-    return this.#asOf;
+    return Math.min(...[...this.#states.values()].map(({ asOf }) => asOf));
   }
 
   /** Latest monotonic time at which the mirror is known to have held the newest
    * state of the store; negative infinity before the first read. */
   get confirmedMs(): number {
-    return this.#confirmedMs;
+    return Math.min(
+      ...[...this.#states.values()].map(({ confirmedMs }) => confirmedMs),
+    );
+  }
+
+  /** As `asOf`, of the keys of one class. */
+  classAsOf({ name }: KeyClass): number {
+    return this.#states.get(name)?.asOf ?? 0;
+  }
+
+  /** As `confirmedMs`, of the keys of one class. */
+  classConfirmedMs({ name }: KeyClass): number {
+    return this.#states.get(name)?.confirmedMs ?? Number.NEGATIVE_INFINITY;
   }
 
   /** Registers a listener for changes applied from now on. */
@@ -60,52 +101,73 @@
     this.#listeners.push(listener);
   }
 
-  /** Applies an update from a source; ignores one older than the mirror. Without
-   * `times` the update says nothing about how current the mirror is. */
+  /** Applies an update from a source to the classes that it covers and that are
+   * not newer. Without `times` the update says nothing about how current the
+   * mirror is. */
   apply(
     update: ChangeBatch | Snapshot,
     { receivedMs, confirmedMs }: UpdateTimes = UNKNOWN_TIMES,
   ): void {
-    if (update.asOf < this.#asOf) {
+    const updated = [...this.#states.values()].filter(({ keyClass, asOf }) =>
+      update.asOf >= asOf &&
+      (update.keyClass === undefined || update.keyClass === keyClass.name)
+    );
+    if (updated.length === 0) {
       return;
     }
-    const origin: ChangeOrigin = {
-      sender: update.sender,
-      // The mirror was complete then, so the changes that it lacks came later.
-      maxAgeMs: receivedMs - this.#confirmedMs,
-    };
+    const origins = new Map<string, ChangeOrigin>();
+    for (const { keyClass, confirmedMs: previousMs } of updated) {
+      origins.set(keyClass.name, {
+        sender: update.sender,
+        keyClass: keyClass.name,
+        // The class was complete then, so the changes that it lacks came later.
+        maxAgeMs: receivedMs - previousMs,
+      });
+    }
+    const originOf = (key: string) =>
+      origins.get(findKeyClass(this.#classes, key)?.name ?? "");
     if (update.kind === "snapshot") {
-      this.#applySnapshot(update, origin);
+      this.#applySnapshot(update, originOf);
     } else {
-      // Deleted keys keep no revision to compare with, so changes that the mirror
-      // already covers are skipped here: an old write must not restore a key
-      // whose later deletion was applied.
-      update.changes
-        .filter(({ revision }) => revision > this.#asOf)
-        .forEach((change) => this.#applyChange(change, origin));
+      for (const change of update.changes) {
+        const origin = originOf(change.key);
+        // Deleted keys keep no revision to compare with, so changes that the
+        // mirror already covers are skipped here: an old write must not restore
+        // a key whose later deletion was applied.
+        if (
+          origin !== undefined && change.revision > this.#asOfKey(change.key)
+        ) {
+          this.#applyChange(change, origin);
+        }
+      }
+    }
+    for (const state of updated) {
+      state.asOf = update.asOf;
+      state.confirmedMs = Math.max(state.confirmedMs, confirmedMs);
     }
-    this.#asOf = update.asOf;
-    this.#confirmedMs = Math.max(this.#confirmedMs, confirmedMs);
     [...this.#waiters].forEach((notify) => notify());
   }
 
-  /** Returns the latest change of each key after `revision`, or a snapshot if they
-   * are no longer retained; no changes if `revision` is ahead of this mirror. */
+  /** Returns the latest change of each key after `revision` and up to `asOf`, or a
+   * snapshot if they are no longer retained; no changes if `revision` is ahead
+   * of this mirror. */
   changesAfter(revision: number): ChangeBatch | Snapshot {
+    const { asOf } = this;
     if (revision < this.#compactedRevision) {
       const entries = [...this.#entries.values()];
-      return { kind: "snapshot", entries, asOf: this.#asOf };
+      return { kind: "snapshot", entries, asOf };
     }
     const latestByKey = new Map<string, KeyChange>();
     for (const change of this.#recentChanges) {
-      if (change.revision > revision) {
-        // Removed first, so that the map stays in the order of revisions.
-        latestByKey.delete(change.key);
+      // Changes of a class that is ahead of `asOf` would let a receiver restore
+      // a key by an older write that it gets elsewhere.
+      if (change.revision > revision && change.revision <= asOf) {
         latestByKey.set(change.key, change);
       }
     }
-    const changes = [...latestByKey.values()];
-    return { kind: "changes", changes, asOf: this.#asOf };
+    const changes = [...latestByKey.values()]
+      .sort((a, b) => a.revision - b.revision);
+    return { kind: "changes", changes, asOf };
   }
 
   /** Resolves on the next update, or when `signal` aborts. */
@@ -124,15 +186,30 @@
     });
   }
 
-  #applySnapshot({ entries, asOf }: Snapshot, origin: ChangeOrigin): void {
+  #asOfKey(key: string): number {
+    const keyClass = findKeyClass(this.#classes, key);
+    return keyClass === undefined ? 0 : this.classAsOf(keyClass);
+  }
+
+  /** Applies a snapshot to the keys for which `originOf` returns an origin. */
+  #applySnapshot(
+    { entries, asOf }: Snapshot,
+    originOf: (key: string) => ChangeOrigin | undefined,
+  ): void {
     const present = new Set(entries.map(({ key }) => key));
     for (const key of [...this.#entries.keys()]) {
-      if (!present.has(key)) {
+      const origin = originOf(key);
+      if (origin !== undefined && !present.has(key)) {
         this.#applyChange({ key, value: undefined, revision: asOf }, origin);
       }
     }
-    entries.forEach((entry) => this.#applyChange(entry, origin));
-    this.#compactedRevision = asOf;
+    for (const entry of entries) {
+      const origin = originOf(entry.key);
+      if (origin !== undefined) {
+        this.#applyChange(entry, origin);
+      }
+    }
+    this.#compactedRevision = Math.max(this.#compactedRevision, asOf);
     this.#recentChanges.length = 0;
   }
 
@@ -148,7 +225,8 @@
     }
     this.#recentChanges.push(change);
     if (this.#recentChanges.length > MAX_RETAINED_CHANGES) {
-      this.#compactedRevision = this.#recentChanges.shift()!.revision;
+      const { revision } = this.#recentChanges.shift()!;
+      this.#compactedRevision = Math.max(this.#compactedRevision, revision);
     }
     for (const listener of this.#listeners) {
       listener(change, origin);
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -1,6 +1,6 @@
 import { type Clock, errorText, sleep } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
-import type { ChangeSource } from "./change_source.ts";
+import type { ChangeBatch, ChangeSource, Snapshot } from "./change_source.ts";
 import type { KeyMirror } from "./key_mirror.ts";
 
 /** Options of {@linkcode MirrorFollower}. */
@@ -31,6 +31,7 @@
   #lastSuccessMs = Number.NEGATIVE_INFINITY;
   #lastFailureMs = Number.NEGATIVE_INFINITY;
   #lastOutageEndMs = Number.NEGATIVE_INFINITY;
+  #callStartMs: number | undefined;
 
   constructor(options: MirrorFollowerOptions) {
     this.#options = {
@@ -64,6 +65,14 @@
     return this.#lastOutageEndMs;
   }
 
+  /** Time for which the call in progress has waited, milliseconds; undefined if
+   * there is none. */
+  get pendingMs(): number | undefined {
+    return this.#callStartMs === undefined
+      ? undefined
+      : this.#options.clock.monotonicMs() - this.#callStartMs;
+  }
+
   /** Stops polling and waits for the call in progress to end. */
   async close(): Promise<void> {
     this.#abortController.abort();
@@ -94,16 +103,22 @@
   }
 
   async #fetchAndApplyUpdate(signal: AbortSignal): Promise<void> {
-    const { mirror, source } = this.#options;
+    const { mirror, source, clock } = this.#options;
     const { asOf } = mirror;
-    const update = asOf === 0
-      ? await source.readAll({ signal })
-      : this.#consecutiveFailures > 0
-      ? await source.resume(asOf, { signal })
-      : await source.waitForChanges(asOf, { signal });
+    this.#callStartMs = clock.monotonicMs();
+    let update: ChangeBatch | Snapshot;
+    try {
+      update = asOf === 0
+        ? await source.readAll({ signal })
+        : this.#consecutiveFailures > 0
+        ? await source.resume(asOf, { signal })
+        : await source.waitForChanges(asOf, { signal });
+    } finally {
+      this.#callStartMs = undefined;
+    }
     // Set before the update is applied: listeners of the mirror delay removals
     // shortly after an outage.
-    const receivedMs = this.#options.clock.monotonicMs();
+    const receivedMs = clock.monotonicMs();
     if (this.#consecutiveFailures > 0) {
       this.#lastOutageEndMs = receivedMs;
     }
--- a/packages/mirror/tests/key_mirror_test.ts
+++ b/packages/mirror/tests/key_mirror_test.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
+import fc from "fast-check";
 import { describe, it } from "mocha";
 import type { KeyChange } from "../src/change_source.ts";
+import type { KeyClass } from "../src/key_class.ts";
 import { KeyMirror } from "../src/key_mirror.ts";
 
 function put(key: string, revision: number, value = `v${revision}`): KeyChange {
@@ -139,4 +141,165 @@
     expect(applied.at(-1)).to.equal("a=v4999");
     expect(follower.asOf).to.equal(4_999);
   });
+
+  describe("with classes of keys", () => {
+    const classes: [KeyClass, KeyClass] = [
+      { name: "endpoints", prefixes: ["e/", "op/zone/"] },
+      { name: "config", prefixes: ["op/config"] },
+    ];
+    const [endpoints, config] = classes;
+
+    function setUp() {
+      const mirror = new KeyMirror({ classes });
+      const applied: string[] = [];
+      mirror.onChange(({ key, value }, { keyClass }) =>
+        applied.push(`${keyClass} ${key}=${value ?? "-"}`)
+      );
+      mirror.apply({
+        kind: "snapshot",
+        entries: [put("e/1", 2), put("op/config", 3)],
+        asOf: 5,
+      }, { receivedMs: 100, confirmedMs: 100 });
+      return { mirror, applied };
+    }
+
+    it("applies changes of one class before older ones of another", () => {
+      const { mirror, applied } = setUp();
+      mirror.apply({
+        kind: "changes",
+        keyClass: "endpoints",
+        changes: [deletion("e/1", 8), put("op/config", 9)],
+        asOf: 9,
+      }, { receivedMs: 300, confirmedMs: 290 });
+      expect(applied.slice(2)).to.deep.equal(["endpoints e/1=-"]);
+      expect(mirror.asOf).to.equal(5);
+      expect(mirror.classAsOf(endpoints)).to.equal(9);
+      expect(mirror.classConfirmedMs(endpoints)).to.equal(290);
+      expect(mirror.confirmedMs).to.equal(100);
+    });
+
+    // An update of all keys that was on its way brought back an endpoint that
+    // had been removed meanwhile.
+    it("does not go back in a class that is ahead", () => {
+      const { mirror, applied } = setUp();
+      mirror.apply({
+        kind: "changes",
+        keyClass: "endpoints",
+        changes: [deletion("e/1", 8)],
+        asOf: 9,
+      });
+      mirror.apply({
+        kind: "changes",
+        changes: [put("e/1", 6), put("op/config", 7)],
+        asOf: 7,
+      });
+      mirror.apply({
+        kind: "snapshot",
+        entries: [put("e/1", 6), put("op/config", 7)],
+        asOf: 7,
+      });
+      expect(applied.slice(2)).to.deep.equal([
+        "endpoints e/1=-",
+        "config op/config=v7",
+      ]);
+      expect(mirror.classAsOf(config)).to.equal(7);
+      expect(mirror.classAsOf(endpoints)).to.equal(9);
+    });
+
+    it("removes only keys of its class with a snapshot", () => {
+      const { mirror, applied } = setUp();
+      mirror.apply({
+        kind: "snapshot",
+        keyClass: "endpoints",
+        entries: [put("op/zone/a", 8)],
+        asOf: 9,
+      });
+      expect(applied.slice(2)).to.deep.equal([
+        "endpoints e/1=-",
+        "endpoints op/zone/a=v8",
+      ]);
+    });
+
+    it("passes on only what all classes are complete for", () => {
+      const { mirror } = setUp();
+      mirror.apply({
+        kind: "changes",
+        changes: [put("e/2", 6)],
+        asOf: 6,
+      });
+      mirror.apply({
+        kind: "changes",
+        keyClass: "endpoints",
+        changes: [deletion("e/2", 8)],
+        asOf: 9,
+      });
+      expect(mirror.changesAfter(5)).to.deep.equal({
+        kind: "changes",
+        changes: [put("e/2", 6)],
+        asOf: 6,
+      });
+    });
+
+    it("ends like its store after any updates of classes", () => {
+      fc.assert(fc.property(fc.infiniteStream(fc.nat(999)), (numbers) => {
+        const nextBelow = (bound: number) =>
+          (numbers.next().value as number) % bound;
+        const keys = ["e/1", "e/2", "op/zone/a", "op/config"];
+        const history: KeyChange[] = [];
+        const stateAt = (asOf: number) => {
+          const state = new Map<string, KeyChange>();
+          history.filter(({ revision }) => revision <= asOf).forEach((change) =>
+            change.value === undefined
+              ? state.delete(change.key)
+              : state.set(change.key, change)
+          );
+          return state;
+        };
+        const mirror = new KeyMirror({ classes });
+        const mirrored = new Map<string, KeyChange>();
+        mirror.onChange((change) =>
+          change.value === undefined
+            ? mirrored.delete(change.key)
+            : mirrored.set(change.key, change)
+        );
+        const apply = (keyClass: string | undefined, asOf: number) => {
+          const known = mirror.asOf;
+          mirror.apply(
+            nextBelow(4) === 0 || known === 0
+              ? {
+                kind: "snapshot",
+                keyClass,
+                entries: [...stateAt(asOf).values()],
+                asOf,
+              }
+              : {
+                kind: "changes",
+                keyClass,
+                changes: history.filter(({ revision }) =>
+                  revision > known && revision <= asOf
+                ),
+                asOf,
+              },
+          );
+        };
+        for (let revision = 1; revision <= 30; revision += 1) {
+          const key = keys[nextBelow(keys.length)]!;
+          history.push(
+            nextBelow(3) === 0 ? deletion(key, revision) : put(key, revision),
+          );
+          const names = [undefined, "endpoints", "config"];
+          const asOf = Math.max(1, revision - nextBelow(5));
+          apply(names[nextBelow(names.length)], asOf);
+          for (const [key, change] of mirrored) {
+            const asOf = mirror.classAsOf(
+              key === "op/config" ? config : endpoints,
+            );
+            expect(stateAt(asOf).get(key)).to.deep.equal(change);
+          }
+        }
+        apply(undefined, 30);
+        expect(mirrored).to.deep.equal(stateAt(30));
+      }));
+    });
+  });
 });
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -103,8 +103,13 @@
   limpetshed_state_revision: row("gauge", [], "Revision of the shared state."),
   limpetshed_state_age_seconds: row(
     "gauge",
-    [],
-    "Time since the store confirmed the shared state as current, over all nodes that passed it on.",
+    ["keys"],
+    "Time since the store confirmed a class of keys of the shared state as current, over all nodes that passed it on.",
+  ),
+  limpetshed_change_age_seconds: row(
+    "histogram",
+    ["keys"],
+    "Upper bound of the time from a change of shared state to its use, by class of keys.",
   ),
   limpetshed_source_reachable: row(
     "gauge",
@@ -144,6 +149,7 @@
   0.75,
   1,
   2,
+  3,
   5,
   15,
 ];
