fix(fleet_relay): tell an outage of the store from a failed call

What callers saw: suspected only; requests could reach an endpoint for up to 2 s after its entry was removed, though it had left.

Cause: removed entries are kept for 2 s after an outage of the store, since they may have lapsed in it, and any failed call counted as one. A node that follows others, or that left the watch to another node after its failure, did not notice a real outage at all.

An outage is now a time without a confirmation that is longer than the bound on the propagation of changes, from whichever source the next one comes.

--- a/packages/fleet_relay/src/state_replica.ts
+++ b/packages/fleet_relay/src/state_replica.ts
@@ -12,6 +12,7 @@
 } from "@limpetshed/mirror";
 import type { Logger, RelayMetrics } from "@limpetshed/observe";
 import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
+import { StateAges } from "./state_ages.ts";
 import { StateSourceSelector } from "./state_source_selector.ts";
 
 /** Options of {@linkcode StateReplica}. */
@@ -47,6 +48,7 @@
   readonly #clock: Clock;
   readonly #peerSource: PeerSource;
   readonly #refresher: StateRefresher;
+  readonly #ages: StateAges;
 
   constructor(options: StateReplicaOptions) {
     const { clock, logger, settings, directory, storeSource } = options;
@@ -78,15 +80,10 @@
         peer: this.#peerSource.address,
       }),
     });
-    this.mirror.onChange((_change, { maxAgeMs, keyClass }) => {
-      if (Number.isFinite(maxAgeMs)) {
-        const labels = { keys: keyClass };
-        options.metrics.timing(
-          "limpetshed_change_age_seconds",
-          maxAgeMs,
-          labels,
-        );
-      }
+    this.#ages = new StateAges({
+      mirror: this.mirror,
+      metrics: options.metrics,
+      outageMs: settings.propagationMs,
     });
   }
 
@@ -108,7 +105,7 @@
   /** Monotonic time at which the last outage of the store ended; negative
    * infinity if there was none. */
   get lastOutageEndMs(): number {
-    return this.followers.store.lastOutageEndMs;
+    return this.#ages.lastOutageEndMs;
   }
 
   /** Ends all calls in progress. */
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -11,6 +11,7 @@
 export { type KeyClass } from "./key_class.ts";
 export {
   type ChangeOrigin,
+  type ConfirmationListener,
   KeyMirror,
   type MirrorListener,
   type UpdateTimes,
--- a/packages/mirror/src/key_mirror.ts
+++ b/packages/mirror/src/key_mirror.ts
@@ -23,6 +23,13 @@
 /** Called with each change applied to the mirror. */
 export type MirrorListener = (change: KeyChange, origin: ChangeOrigin) => void;
 
+/** Called when an update confirms a class of keys, also without a change.
+ * `ageMs` is the time since the class was confirmed before, `receivedMs` the
+ * monotonic time of the update. */
+export type ConfirmationListener = (
+  confirmation: { keyClass: KeyClass; ageMs: number; receivedMs: number },
+) => void;
+
 /** How far a class of keys is known. */
 interface ClassState {
   readonly keyClass: KeyClass;
@@ -51,6 +58,7 @@
   readonly #entries = new Map<string, KeyChange>();
   readonly #recentChanges: KeyChange[] = [];
   readonly #listeners: MirrorListener[] = [];
+  readonly #confirmationListeners: ConfirmationListener[] = [];
   readonly #waiters = new Set<() => void>();
   /** Changes at or below this revision are no longer retained. */
   #compactedRevision = 0;
@@ -101,6 +109,12 @@
     this.#listeners.push(listener);
   }
 
+  /** Registers a listener for confirmations from now on. It is called before
+   * the changes of the update are applied. */
+  onConfirmation(listener: ConfirmationListener): void {
+    this.#confirmationListeners.push(listener);
+  }
+
   /** Applies an update from a source to the classes that it covers and that are
    * not newer. Without `times` the update says nothing about how current the
    * mirror is. */
@@ -117,12 +131,16 @@
     }
     const origins = new Map<string, ChangeOrigin>();
     for (const { keyClass, confirmedMs: previousMs } of updated) {
+      // The class was complete then, so the changes that it lacks came later.
+      const ageMs = receivedMs - previousMs;
       origins.set(keyClass.name, {
         sender: update.sender,
         keyClass: keyClass.name,
-        // The class was complete then, so the changes that it lacks came later.
-        maxAgeMs: receivedMs - previousMs,
+        maxAgeMs: ageMs,
       });
+      this.#confirmationListeners.forEach((listener) =>
+        listener({ keyClass, ageMs, receivedMs })
+      );
     }
     const originOf = (key: string) =>
       origins.get(findKeyClass(this.#classes, key)?.name ?? "");
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -30,7 +30,6 @@
   #isReachable = false;
   #lastSuccessMs = Number.NEGATIVE_INFINITY;
   #lastFailureMs = Number.NEGATIVE_INFINITY;
-  #lastOutageEndMs = Number.NEGATIVE_INFINITY;
   #callStartMs: number | undefined;
 
   constructor(options: MirrorFollowerOptions) {
@@ -59,12 +58,6 @@
     return this.#lastFailureMs;
   }
 
-  /** Monotonic time at which the source last recovered from a failure;
-   * negative infinity if it never has. */
-  get lastOutageEndMs(): number {
-    return this.#lastOutageEndMs;
-  }
-
   /** Time for which the call in progress has waited, milliseconds; undefined if
    * there is none. */
   get pendingMs(): number | undefined {
@@ -116,12 +109,7 @@
     } finally {
       this.#callStartMs = undefined;
     }
-    // Set before the update is applied: listeners of the mirror delay removals
-    // shortly after an outage.
     const receivedMs = clock.monotonicMs();
-    if (this.#consecutiveFailures > 0) {
-      this.#lastOutageEndMs = receivedMs;
-    }
     const confirmedMs = receivedMs - (update.ageMs ?? 0);
     mirror.apply(update, { receivedMs, confirmedMs });
   }
--- a/packages/mirror/tests/mirror_follower_test.ts
+++ b/packages/mirror/tests/mirror_follower_test.ts
@@ -66,7 +66,6 @@
     expect([source.snapshotReads, source.changePolls]).to.deep.equal([1, 1]);
     expect(mirror.asOf).to.equal(1);
     expect(follower.isReachable).to.equal(true);
-    expect(follower.lastOutageEndMs).to.equal(Number.NEGATIVE_INFINITY);
   });
 
   it("keeps its state during an outage, then reads a snapshot", async () => {
@@ -82,7 +81,6 @@
     await clock.advance(500);
     expect(mirror.asOf).to.equal(9);
     expect(follower.isReachable).to.equal(true);
-    expect(follower.lastOutageEndMs).to.be.greaterThan(5_000);
   });
 
   it("reads only changes after an outage if the source can resume", async () => {
