fix(fleet): survive odd messages of other nodes

What callers saw: suspected only; nodes ended by themselves, or stopped following shared state.

Cause: values of datagrams were converted to text without a check, which throws for deeply nested lists and ended the process. A datagram or a response far ahead of the store was believed for good: the node asked that peer first, or ignored all that the store said later.

--- a/packages/fleet/src/limit_message.ts
+++ b/packages/fleet/src/limit_message.ts
@@ -41,6 +41,8 @@
 /** Entries of each list in one datagram: 10 of some 70 bytes stay below 1,200 bytes
  * together with as many keys. */
 const MAX_ENTRIES = 10;
+/** Larger rates and ages are not sensible. */
+const MAX_AMOUNT = 1e9;
 /** Tells these datagrams from load messages, which begin with a node's id. */
 const MARKER = 1;
 
@@ -133,5 +135,5 @@
 }
 
 function isAmount(value: unknown): value is number {
-  return typeof value === "number" && Number.isFinite(value) && value >= 0;
+  return typeof value === "number" && value >= 0 && value <= MAX_AMOUNT;
 }
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -2,6 +2,7 @@
 import type { Buffer } from "node:buffer";
 import {
   type Clock,
+  errorText,
   repeat,
   type RepeatingTask,
   splitHostPort,
@@ -118,7 +119,14 @@
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
     this.#socket = createSocket("udp4");
-    this.#socket.on("message", (data) => this.#receive(data));
+    this.#socket.on("message", (data) => {
+      try {
+        this.#receive(data);
+      } catch (err) {
+        // Any host can send datagrams; none may end the process.
+        options.logger.warn({ event: "datagram_error", err: errorText(err) });
+      }
+    });
     this.#socket.on(
       "error",
       (err) =>
@@ -250,6 +258,9 @@
     const { nodeId, incarnation, round, inFlightByEndpoint } = message;
     const { directory, onPeerInFlight, onPlacements, onCrashReports } =
       this.#options;
+    if (directory.isSelf(nodeId)) {
+      return;
+    }
     const previous = this.#lastRoundByNode.get(nodeId);
     const isSameIncarnation = previous?.incarnation === incarnation;
     // A datagram of an earlier round, delayed on the network, is out of date.
--- a/packages/fleet/src/load_message.ts
+++ b/packages/fleet/src/load_message.ts
@@ -27,6 +27,9 @@
  * lists. */
 const MAX_HEADER_BYTES = 200;
 
+/** More than any node has in flight at one endpoint. */
+const MAX_IN_FLIGHT = 1_000_000;
+
 /** Pair lists in a datagram: in-flight counts, placements, crash reports. */
 const LISTS_PER_DATAGRAM = 3;
 
@@ -124,9 +127,10 @@
   ] = decoded;
   const inFlightByEndpoint = new Map<string, number>();
   for (let index = 0; index + 1 < inFlight.length; index += 2) {
+    const count = Number(inFlight[index + 1]) || 0;
     inFlightByEndpoint.set(
       String(inFlight[index]),
-      Math.max(0, Number(inFlight[index + 1]) || 0),
+      Math.min(MAX_IN_FLIGHT, Math.max(0, count)),
     );
   }
   return {
@@ -136,8 +140,8 @@
     asOf,
     storeConnectivity,
     inFlightByEndpoint,
-    placements: placements.map(String),
-    crashReports: crashReports.map(String),
+    placements,
+    crashReports,
   };
 }
 
@@ -146,5 +150,11 @@
     typeof value[0] === "string" && typeof value[1] === "string" &&
     Number.isSafeInteger(value[2]) && Number.isSafeInteger(value[3]) &&
     STORE_CONNECTIVITIES.includes(value[4]) &&
-    value.slice(5).every(Array.isArray);
+    value.slice(5).every(Array.isArray) &&
+    // Values that are no text or number may be nested too deeply to convert.
+    (value[5] as unknown[]).every((item) =>
+      typeof item === "string" || typeof item === "number"
+    ) &&
+    [...value[6] as unknown[], ...value[7] as unknown[]]
+      .every((item) => typeof item === "string");
 }
--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -69,7 +69,7 @@
       signal,
     });
     return {
-      ...decodeUpdate(value),
+      ...decodeUpdate(value, { after: revision }),
       ageMs: decodeAge(headers[STATE_AGE_HEADER]) +
         this.#clock.monotonicMs() - headMs,
       sender: address,
--- a/packages/fleet/src/peer_directory.ts
+++ b/packages/fleet/src/peer_directory.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@limpetshed/base";
+import { type Clock, splitHostPort } from "@limpetshed/base";
 import { ROUND_INTERVAL_MS, roundsToReachAll } from "./broadcast_schedule.ts";
 import type { StoreConnectivity } from "./choose_watchers.ts";
 
@@ -16,7 +16,7 @@
 export interface Peer extends PeerAddress {
   /** Monotonic time of its last datagram; negative infinity if none. */
   lastSeenMs: number;
-  /** Highest shared-state revision that it has reported. */
+  /** Shared-state revision that it has reported last. */
   asOf: number;
   /** Its connectivity to the store, as last reported. */
   storeConnectivity: StoreConnectivity;
@@ -74,11 +74,23 @@
     const peer = this.#peers.get(id);
     if (peer !== undefined) {
       peer.lastSeenMs = this.#clock.monotonicMs();
-      peer.asOf = Math.max(peer.asOf, asOf);
+      peer.asOf = asOf;
       peer.storeConnectivity = storeConnectivity;
     }
   }
 
+  /** Whether `id` is that of this node. */
+  isSelf(id: string): boolean {
+    return id === this.#selfId;
+  }
+
+  /** Whether a node has this IP address. */
+  hasHost(host: string): boolean {
+    return this.peers().some(({ callAddress }) =>
+      splitHostPort(callAddress).host === host
+    );
+  }
+
   /** Ids of all nodes including this one; a new array after each change, so
    * that callers can detect changes by identity. */
   nodeIds(): readonly string[] {
--- a/packages/fleet/tests/peer_change_source_test.ts
+++ b/packages/fleet/tests/peer_change_source_test.ts
@@ -172,7 +172,7 @@
       fc.property(fc.array(change), asOf, (changes, revision) => {
         const sent = { kind: "changes" as const, changes, asOf: revision };
         const text = JSON.stringify(sent);
-        const decoded = decodeUpdate(JSON.parse(text));
+        const decoded = decodeUpdate(JSON.parse(text), { after: 0 });
         expect(JSON.stringify(decoded)).to.equal(
           JSON.stringify({ kind: "changes", asOf: revision, changes }),
         );
@@ -198,7 +198,7 @@
       fc.property(fc.oneof(update, fc.anything()), (value) => {
         const mirror = new KeyMirror();
         try {
-          mirror.apply(decodeUpdate(value));
+          mirror.apply(decodeUpdate(value, { after: mirror.asOf }));
         } catch (err) {
           expect(String(err)).to.contain(
             "invalid shared-state update from peer",
--- a/packages/fleet_relay/src/placement_recovery.ts
+++ b/packages/fleet_relay/src/placement_recovery.ts
@@ -114,7 +114,10 @@
     const path = PLACEMENTS_PATH;
     const { signal } = this.#abortController;
     const { value } = await this.#client.getJson(address, { path, signal });
-    return Array.isArray(value) ? decodeCachedParts(value.map(String)) : [];
+    const texts = Array.isArray(value) ? value : [];
+    return texts.every((text) => typeof text === "string")
+      ? decodeCachedParts(texts)
+      : [];
   }
 
   /** Usable endpoints of services with a prompt cache. */
