fix(platform): survive odd entries of other writers

What callers saw: suspected only; nodes ended, stopped following shared state, or treated an endpoint as cold or restarted after its true entry had come.

Causes, each shown by a test in odd_entries_test.ts that failed before: - an entry without bytes made every response of the store unreadable, and all nodes stopped following it; - an address with parts left over passed, and connecting to it threw; - unspecified, multicast and broadcast addresses and those of nodes passed; - numbers that are finite and absurd (slots, cold time, start) and texts of any length passed; a cold time outlasted the entry; - an unreadable entry under a live endpoint's id counted as a sign that it had ended, and a start time in it as a restart, also after the true entry; - each such entry was logged each time it was written.

Addresses, numbers and names have bounds now, an unreadable entry takes its endpoint out of use and is no evidence of a crash, and is logged once and counted in limpetshed_unreadable_entries_total.

--- a/packages/dispatch/src/deferred_removals.ts
+++ b/packages/dispatch/src/deferred_removals.ts
@@ -38,9 +38,15 @@
     this.#drainMs = drainMs;
   }
 
-  /** Schedules the removal of endpoint `id`, whose entry was deleted at most
-   * `maxAgeMs` ago. */
-  entryRemoved(id: string, { maxAgeMs }: { maxAgeMs: number }): void {
+  /** Schedules the removal of endpoint `id`, whose entry was deleted, or replaced
+   * by one that cannot be read, at most `maxAgeMs` ago. */
+  entryRemoved(
+    id: string,
+    { maxAgeMs, isUnreadable = false }: {
+      maxAgeMs: number;
+      isUnreadable?: boolean;
+    },
+  ): void {
     const graceRemainingMs = this.#lastOutageEndMs() + REREGISTRATION_GRACE_MS -
       this.#clock.monotonicMs();
     const isInGracePeriod = graceRemainingMs > 0;
@@ -48,7 +54,7 @@
       ? graceRemainingMs
       : this.#lastResortMs(maxAgeMs);
     if (!isInGracePeriod) {
-      this.#registry.demote(id);
+      this.#registry.demote(id, { hasVanished: !isUnreadable });
     }
     if (!this.#timers.has(id)) {
       const timer = this.#clock.setTimer(delayMs, () => {
--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -77,6 +77,7 @@
       this.#options.onRemove?.(known, "restarted");
     }
     const isSameIncarnation = known?.key === key && isSameVersion;
+    this.#restartedKeys.delete(key);
     const endpoint: Endpoint = {
       key,
       entry,
@@ -96,12 +97,18 @@
     return endpoint;
   }
 
-  /** Makes an endpoint whose entry was removed a last resort. */
-  demote(id: string): void {
+  /** Makes an endpoint whose entry was removed a last resort. `hasVanished` tells
+   * whether that is a sign that it has ended. */
+  demote(
+    id: string,
+    { hasVanished = true }: { hasVanished?: boolean } = {},
+  ): void {
     const known = this.#byId.get(id);
     if (known !== undefined && !known.isLastResort) {
       known.isLastResort = true;
-      this.#reportVanished(known);
+      if (hasVanished) {
+        this.#reportVanished(known);
+      }
       this.#invalidate();
     }
   }
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -35,6 +35,7 @@
 } from "@limpetshed/relay";
 import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
 import { makeStateHandlers } from "./make_state_handlers.ts";
+import { NodeAddresses } from "./node_addresses.ts";
 import { NodeTunnels } from "./node_tunnels.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
 import { StateReplica } from "./state_replica.ts";
@@ -51,6 +52,8 @@
   /** Delays the removal of endpoints whose entries were deleted. */
   deferredRemovals: DeferredRemovals;
   directory: PeerDirectory;
+  /** Addresses that are not those of endpoints, or of other nodes. */
+  addresses: Pick<NodeAddresses, "isOwn" | "isNode">;
 }
 
 /** Options of {@linkcode FleetRelay}. */
@@ -132,6 +135,10 @@
       node: this.#node,
       deferredRemovals: this.#deferredRemovals,
       directory: this.#directory,
+      addresses: new NodeAddresses({
+        listen: settings.listen,
+        directory: this.#directory,
+      }),
     });
     this.#peerServer = new PeerServer({
       clock,
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -53,6 +53,11 @@
     [],
     "Responses whose endpoint named a limit that is not a valid number.",
   ),
+  limpetshed_unreadable_entries_total: row(
+    "counter",
+    ["event"],
+    "Entries of shared state that cannot be read, by the log event of their kind.",
+  ),
   limpetshed_stream_resumptions_total: row(
     "counter",
     ["origin"],
--- a/packages/relay/src/direct_connector.ts
+++ b/packages/relay/src/direct_connector.ts
@@ -21,13 +21,14 @@
   connect(
     { address, timeoutMs, signal }: ConnectRequest,
   ): Promise<OpenedConnection> {
-    const socket = net.connect({
-      ...splitHostPort(address),
-      noDelay: true,
-      keepAlive: true,
-      keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
-    });
     return new Promise((resolve, reject) => {
+      // Throws, and so rejects, for a port that is none.
+      const socket = net.connect({
+        ...splitHostPort(address),
+        noDelay: true,
+        keepAlive: true,
+        keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
+      });
       const timer = this.#clock.setTimer(
         timeoutMs,
         () => socket.destroy(new Error("connect timeout")),
