fix(relay): keep a request from a connection that refused it before

What callers saw: suspected only; 'not run, try again' for a request that ran.

Cause: an endpoint that writes its refusal of a request once more on a kept connection is taken at its word if the same request comes again on that connection, as ids are all that tells the two apart.

--- a/packages/relay/src/connection_pool.ts
+++ b/packages/relay/src/connection_pool.ts
@@ -41,25 +41,23 @@
     return this.#open.get(address)?.size ?? 0;
   }
 
-  /** Returns an idle connection, most recently used first, or opens a new one.
-   * `repeatable` tells whether the request may run twice. */
+  /** Returns an idle connection that may carry the request, most recently used
+   * first, or opens a new one. `repeatable` tells whether the request may run
+   * twice. */
   acquire(
     address: string,
-    { repeatable }: { repeatable: boolean },
+    { repeatable, requestId }: { repeatable: boolean; requestId: string },
   ): EndpointConnection {
     const idle = this.#idle.get(address) ?? [];
-    for (
-      let connection = idle.pop();
-      connection !== undefined;
-      connection = idle.pop()
-    ) {
-      if (
-        connection.isOpen &&
-        (repeatable || connection.idleMs <= MAX_NON_REPEATABLE_IDLE_MS)
-      ) {
+    for (const connection of [...idle].reverse()) {
+      const isUsable = connection.isOpen &&
+        (repeatable || connection.idleMs <= MAX_NON_REPEATABLE_IDLE_MS);
+      if (!isUsable) {
+        connection.close();
+      } else if (connection.mayCarry(requestId)) {
+        idle.splice(idle.indexOf(connection), 1);
         return connection;
       }
-      connection.close();
     }
     return this.#connect(address);
   }
@@ -69,7 +67,7 @@
     if (!connection.isOpen) {
       return;
     }
-    if (connection.isDetour) {
+    if (connection.isDetour || connection.isWornOut) {
       connection.close();
       return;
     }
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -66,6 +66,8 @@
 /** Upper bound on the timeout from an endpoint's `keep-alive` header. */
 const MAX_KEEP_ALIVE_MS = 30_000;
 const MAX_RESPONSE_HEADER_BYTES = 32_768;
+/** Bounds the memory for ids of refused requests. */
+const MAX_REFUSED_IDS = 1_000;
 
 /** An HTTP/1.1 connection to an endpoint; carries one exchange at a time. */
 export class EndpointConnection {
@@ -74,6 +76,7 @@
   readonly #dispatcher: Dispatcher;
   readonly #resets = new ResetDetector();
   readonly #closing = new AbortController();
+  readonly #refusedIds = new Set<string>();
   #lastUsedMs: number;
   #exchangeCount = 0;
   #isClosed = false;
@@ -123,6 +126,23 @@
     return this.#options.clock.monotonicMs() - this.#lastUsedMs;
   }
 
+  /** Records that the endpoint refused a request on this connection. A refusal
+   * that it writes once more could not be told from one of the same request
+   * later, so the connection does not carry that request again. */
+  recordRefusal(requestId: string): void {
+    this.#refusedIds.add(requestId);
+  }
+
+  /** Whether this connection may carry a request. */
+  mayCarry(requestId: string): boolean {
+    return !this.#refusedIds.has(requestId);
+  }
+
+  /** Whether too many refusals are recorded to go on with this connection. */
+  get isWornOut(): boolean {
+    return this.#refusedIds.size >= MAX_REFUSED_IDS;
+  }
+
   /** Sends a request and reports its response to `handler`. */
   exchange(req: OutgoingRequest, handler: ExchangeHandler): void {
     this.#exchangeCount += 1;
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -48,7 +48,10 @@
   constructor(options: SendAttemptOptions) {
     this.#options = options;
     const { pool, endpoint, repeatable, request } = options;
-    this.#connection = pool.acquire(endpoint.entry.address, { repeatable });
+    this.#connection = pool.acquire(endpoint.entry.address, {
+      repeatable,
+      requestId: request.requestId,
+    });
     options.endpointLoads.begin(endpoint.key);
     request.signal.addEventListener("abort", this.#onAbort, { once: true });
     this.#connection.exchange(
@@ -104,6 +107,9 @@
       onServerError: this.#options.onServerError,
     });
     if (unusable !== undefined) {
+      if (metadata.isNotRun) {
+        this.#connection.recordRefusal(request.requestId);
+      }
       this.#settle(unusable.outcome, unusable.reason);
       this.#state = "discarding";
       // After a rejected or failed response the connection is still usable and
