fix(relay): confirm the view before a stream goes on over a new connection

What callers saw: suspected only; streams with events of two software versions when a node's view was old, as it was cut off, had stood still, or an endpoint had just come back.

Cause: an endpoint that comes back with its id and address at another version is taken for its old entry until the new one is seen.

A stream goes on only over a connection from before the last confirmation of the view, or over a new one once a read of the store that began after the connection was established is applied.

--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -246,7 +246,10 @@
       }),
       directConnector: this.#directConnector,
       tunnels: this.#tunnels.asked,
-      view: { confirmedMs: () => this.#state.mirror.confirmedMs },
+      view: {
+        confirmedMs: () => this.#state.mirror.confirmedMs,
+        confirm: (afterMs) => this.#state.confirm(afterMs),
+      },
       makePolicy: (
         { endpointLoads, prefixCacheIndex, registry },
       ) =>
--- a/packages/fleet_relay/src/state_replica.ts
+++ b/packages/fleet_relay/src/state_replica.ts
@@ -8,6 +8,7 @@
   KeyMirror,
   makePropagationBudget,
   MirrorFollower,
+  StateConfirmer,
   StateRefresher,
 } from "@limpetshed/mirror";
 import type { Logger, RelayMetrics } from "@limpetshed/observe";
@@ -48,6 +49,7 @@
   readonly #clock: Clock;
   readonly #peerSource: PeerSource;
   readonly #refresher: StateRefresher;
+  readonly #confirmer: StateConfirmer;
   readonly #ages: StateAges;
 
   constructor(options: StateReplicaOptions) {
@@ -67,12 +69,19 @@
     const { makePeerSource = makeHttpSource(clock) } = options;
     this.#peerSource = makePeerSource(() => this.sourceSelector.selectPeer());
     this.followers = this.#makeFollowers(options);
+    const budget = makePropagationBudget(settings.propagationMs);
+    this.#confirmer = new StateConfirmer({
+      clock,
+      mirror: this.mirror,
+      reader: storeSource,
+      timeoutMs: budget.callMs,
+    });
     this.#refresher = new StateRefresher({
       clock,
       logger,
       mirror: this.mirror,
       reader: storeSource,
-      budget: makePropagationBudget(settings.propagationMs),
+      budget,
       isStoreReachedByPeers: () => this.sourceSelector.isStoreReachedByPeers,
       describeSources: () => ({
         storeCallMs: roundIfKnown(this.followers.store.pendingMs),
@@ -108,8 +117,15 @@
     return this.#ages.lastOutageEndMs;
   }
 
+  /** Confirms the state with the store; resolves to whether it now holds a state
+   * from after the monotonic time `afterMs`. */
+  confirm(afterMs: number): Promise<boolean> {
+    return this.#confirmer.confirm(afterMs);
+  }
+
   /** Ends all calls in progress. */
   async close(): Promise<void> {
+    this.#confirmer.close();
     this.#peerSource.close();
     await Promise.all([
       this.followers.store.close(),
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -28,3 +28,7 @@
   StateRefresher,
   type StateRefresherOptions,
 } from "./state_refresher.ts";
+export {
+  StateConfirmer,
+  type StateConfirmerOptions,
+} from "./state_confirmer.ts";
--- a/packages/relay/src/connection_pool.ts
+++ b/packages/relay/src/connection_pool.ts
@@ -10,6 +10,25 @@
   connectTimeoutMs?: number;
 }
 
+/** Decides whether the endpoint that a connection reaches is the one that was
+ * chosen: another process may have its address since. */
+export interface ConnectionVerifier {
+  /** Whether that is known of a connection established at `openedMs`, a monotonic
+   * time. */
+  accepts(openedMs: number): boolean;
+  /** Finds it out for a new connection. */
+  verify(openedMs: number): Promise<boolean>;
+}
+
+/** Options of {@linkcode ConnectionPool.acquire}. */
+export interface AcquireOptions {
+  /** Whether the request may run twice. */
+  repeatable: boolean;
+  requestId: string;
+  /** All connections to the address are accepted if undefined. */
+  verifier?: ConnectionVerifier;
+}
+
 /** Allows several round trips between availability zones and is below the
  * smallest target latency. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -42,24 +61,24 @@
   }
 
   /** Returns an idle connection that may carry the request, most recently used
-   * first, or opens a new one. `repeatable` tells whether the request may run
-   * twice. */
-  acquire(
-    address: string,
-    { repeatable, requestId }: { repeatable: boolean; requestId: string },
-  ): EndpointConnection {
+   * first, or opens a new one. */
+  acquire(address: string, options: AcquireOptions): EndpointConnection {
+    const { repeatable, requestId, verifier } = options;
     const idle = this.#idle.get(address) ?? [];
     for (const connection of [...idle].reverse()) {
       const isUsable = connection.isOpen &&
         (repeatable || connection.idleMs <= MAX_NON_REPEATABLE_IDLE_MS);
       if (!isUsable) {
         connection.close();
-      } else if (connection.mayCarry(requestId)) {
+      } else if (
+        connection.mayCarry(requestId) &&
+        verifier?.accepts(connection.openedMs) !== false
+      ) {
         idle.splice(idle.indexOf(connection), 1);
         return connection;
       }
     }
-    return this.#connect(address);
+    return this.#connect(address, verifier);
   }
 
   /** Returns a connection to the pool after its exchange is complete. */
@@ -101,7 +120,10 @@
     }
   }
 
-  #connect(address: string): EndpointConnection {
+  #connect(
+    address: string,
+    verifier: ConnectionVerifier | undefined,
+  ): EndpointConnection {
     let open = this.#open.get(address);
     if (open === undefined) {
       open = new Set();
@@ -112,6 +134,7 @@
       connector: this.#connector,
       address,
       connectTimeoutMs: this.#connectTimeoutMs,
+      verify: verifier && ((openedMs) => verifier.verify(openedMs)),
       onClose: () => this.#remove(address, connection),
     });
     open.add(connection);
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -53,6 +53,9 @@
   connector: EndpointConnector;
   /** Connect timeout, milliseconds. */
   connectTimeoutMs: number;
+  /** Called with the monotonic time at which the connection was established,
+   * before anything is sent; if it resolves to false, the connection fails. */
+  verify?: (openedMs: number) => Promise<boolean>;
   /** Called once, when the connection is closed. */
   onClose: () => void;
 }
@@ -77,6 +80,7 @@
   readonly #resets = new ResetDetector();
   readonly #closing = new AbortController();
   readonly #refusedIds = new Set<string>();
+  #openedMs = Number.POSITIVE_INFINITY;
   #lastUsedMs: number;
   #exchangeCount = 0;
   #isClosed = false;
@@ -121,6 +125,11 @@
     return this.#isDetour;
   }
 
+  /** Monotonic time at which the connection was established; infinite before. */
+  get openedMs(): number {
+    return this.#openedMs;
+  }
+
   /** Milliseconds since the last exchange completed. */
   get idleMs(): number {
     return this.#options.clock.monotonicMs() - this.#lastUsedMs;
@@ -168,19 +177,28 @@
   }
 
   #connect(done: (...args: [null, net.Socket] | [Error, null]) => void): void {
-    const { address, connectTimeoutMs, connector } = this.#options;
-    connector.connect({
+    this.#openVerified().then(
+      (socket) => done(null, socket),
+      (err: Error) => done(err, null),
+    );
+  }
+
+  async #openVerified(): Promise<net.Socket> {
+    const { address, clock, connectTimeoutMs, connector, verify } =
+      this.#options;
+    const { socket, isDetour } = await connector.connect({
       address,
       timeoutMs: connectTimeoutMs,
       signal: this.#closing.signal,
-    }).then(
-      ({ socket, isDetour }) => {
-        this.#isDetour = isDetour;
-        this.#resets.watch(socket);
-        done(null, socket);
-      },
-      (err: Error) => done(err, null),
-    );
+    });
+    this.#isDetour = isDetour;
+    this.#openedMs = clock.monotonicMs();
+    this.#resets.watch(socket);
+    if (verify !== undefined && !await verify(this.#openedMs)) {
+      socket.destroy();
+      throw new Error("the endpoint may have been replaced");
+    }
+    return socket;
   }
 
   #dispatchHandler(handler: ExchangeHandler): Dispatcher.DispatchHandler {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -39,8 +39,8 @@
   TunnelError,
   type TunnelFailure,
 } from "./helper_tunnels.ts";
+export { type StateView } from "./state_view.ts";
 export {
-  type StateView,
   StreamOriginResolver,
   type StreamOriginResolverOptions,
 } from "./stream_origin_resolver.ts";
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -36,10 +36,8 @@
 import type { RelayObserver } from "./relay_observer.ts";
 import { RelayServer } from "./relay_server.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
-import {
-  type StateView,
-  StreamOriginResolver,
-} from "./stream_origin_resolver.ts";
+import { ALWAYS_CONFIRMED, type StateView } from "./state_view.ts";
+import { StreamOriginResolver } from "./stream_origin_resolver.ts";
 import type { WireFormat } from "./wire_format.ts";
 
 /** Options of {@linkcode RelayNode}. */
@@ -94,7 +92,7 @@
   readonly streamOrigins: StreamOrigins;
   readonly serviceVersions: ServiceVersions;
   readonly endpointLinks: EndpointLinks;
-  readonly #options: RelayNodeOptions;
+  readonly #options: RelayNodeOptions & { view: StateView };
   readonly #outlierDetector: OutlierDetector;
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
@@ -106,8 +104,8 @@
   readonly #shutdown: GracefulShutdown;
 
   constructor(options: RelayNodeOptions) {
-    this.#options = options;
-    const { clock } = options;
+    const { clock, view = ALWAYS_CONFIRMED } = options;
+    this.#options = { ...options, view };
     this.#shutdown = new GracefulShutdown({ clock });
     this.#limitLogBudget = new LogRateLimiter({ clock });
     this.endpointLoads = new LoadTracker({ clock });
@@ -169,8 +167,7 @@
         clock,
         origins: this.streamOrigins,
         versions: this.serviceVersions,
-        view: options.view ??
-          { confirmedMs: () => Number.POSITIVE_INFINITY },
+        view,
         onResolved: (lookup) => options.observer.originResolved(lookup),
       }),
       random: options.random,
@@ -268,7 +265,7 @@
   }
 
   #makeForwarder(): RequestForwarder {
-    const { clock, logger, format, observer, nodeIds, retryLimits } =
+    const { clock, logger, format, observer, view, nodeIds, retryLimits } =
       this.#options;
     return new RequestForwarder({
       clock,
@@ -296,6 +293,8 @@
       observer,
       streamOrigins: this.streamOrigins,
       versions: this.serviceVersions,
+      registry: this.registry,
+      view,
       serviceLatency: this.#serviceLatency,
       accountLoads: this.#accountLoads,
       routeTable: () => this.config.table,
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -4,6 +4,7 @@
   type Choice,
   type Endpoint,
   type EndpointChooser,
+  type EndpointRegistry,
   isRetryable,
   type LoadTracker,
   mayRetry,
@@ -27,6 +28,8 @@
 import { SendAttempt } from "./send_attempt.ts";
 import type { SendResult } from "./send_result.ts";
 import { SseFramer } from "./sse_framer.ts";
+import type { StateView } from "./state_view.ts";
+import { VersionVerifier } from "./version_verifier.ts";
 import type { WireFormat } from "./wire_format.ts";
 
 /** Options of {@linkcode RequestForwarder}. */
@@ -45,6 +48,8 @@
   observer: RelayObserver;
   streamOrigins: StreamOrigins;
   versions: ServiceVersions;
+  registry: EndpointRegistry;
+  view: StateView;
   /** Routes and services of the active configuration. */
   routeTable: () => RouteTable | undefined;
 }
@@ -125,7 +130,8 @@
     /** Resolves when it is known whether the endpoint crashed. */
     crashCheck: Promise<void>;
   }> {
-    const { endpointLoads, pool, format, clock, crashGuard } = this.#options;
+    const { endpointLoads, pool, format, clock, crashGuard, registry, view } =
+      this.#options;
     const { endpoint, copyFrom, candidates } = this.#chooseEndpointOrThrow(
       request,
     );
@@ -140,6 +146,9 @@
       format,
       framer,
       repeatable: isRetryable(request.route),
+      verifier: request.version === undefined
+        ? undefined
+        : new VersionVerifier({ endpoint, registry, view }),
       clock,
       onLimit: (limit, options) =>
         this.#options.limitRecorder.record(endpoint.key, limit, options),
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -47,10 +47,11 @@
 
   constructor(options: SendAttemptOptions) {
     this.#options = options;
-    const { pool, endpoint, repeatable, request } = options;
+    const { pool, endpoint, repeatable, request, verifier } = options;
     this.#connection = pool.acquire(endpoint.entry.address, {
       repeatable,
       requestId: request.requestId,
+      verifier,
     });
     options.endpointLoads.begin(endpoint.key);
     request.signal.addEventListener("abort", this.#onAbort, { once: true });
--- a/packages/relay/src/send_attempt_options.ts
+++ b/packages/relay/src/send_attempt_options.ts
@@ -5,7 +5,7 @@
   LoadTracker,
   NamedLimit,
 } from "@limpetshed/dispatch";
-import type { ConnectionPool } from "./connection_pool.ts";
+import type { ConnectionPool, ConnectionVerifier } from "./connection_pool.ts";
 import type { RelayRequest } from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
 import type { SseFramer } from "./sse_framer.ts";
@@ -26,6 +26,8 @@
   /** Whether the request may run twice; if not, the pool hands out only new or
    * recently used connections. */
   repeatable: boolean;
+  /** Restricts the connections that the request may use. */
+  verifier: ConnectionVerifier | undefined;
   clock: Clock;
   /** Called with what a response to this request says of its endpoint's limit.
    * `sentMs` is the monotonic time at which the request was sent, `isServed` says
--- a/packages/relay/src/stream_origin_resolver.ts
+++ b/packages/relay/src/stream_origin_resolver.ts
@@ -8,13 +8,7 @@
 } from "@limpetshed/dispatch";
 import { RouterError } from "@limpetshed/errors";
 import type { StreamResumption } from "./relay_request.ts";
-
-/** How current this node's view of the shared state is. */
-export interface StateView {
-  /** Latest monotonic time at which the view is known to have held the newest
-   * state of the store. */
-  confirmedMs: () => number;
-}
+import type { StateView } from "./state_view.ts";
 
 /** How the origin of a resumed stream was found. */
 export type OriginSource =
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -104,6 +104,10 @@
    * default. */
   viewConfirmedMs = Number.POSITIVE_INFINITY;
 
+  /** Confirms the node's view with the store; it cannot be by default. */
+  confirmView: (afterMs: number) => Promise<boolean> = () =>
+    Promise.resolve(false);
+
   constructor() {
     const clock = new SystemClock();
     const logger = makeLogger({
@@ -121,7 +125,10 @@
         logger,
         metrics: new RelayMetrics(),
       }),
-      view: { confirmedMs: () => this.viewConfirmedMs },
+      view: {
+        confirmedMs: () => this.viewConfirmedMs,
+        confirm: (afterMs) => this.confirmView(afterMs),
+      },
       makePolicy: ({ endpointLoads }) =>
         new LeastLoadedPolicy({ loads: endpointLoads }),
       retryLimits: { ratio: 1, slack: 100, windowMs: 10_000 },
--- a/packages/relay/tests/software_version_test.ts
+++ b/packages/relay/tests/software_version_test.ts
@@ -168,4 +168,59 @@
     });
     expect(versionsIn(res)).to.deep.equal([]);
   });
+
+  it("confirms its view before it resumes on a new connection", async () => {
+    await start(brokenStream, ["v1"]);
+    await fixture.send("/resume/", { id: "r1" });
+    fixture.viewConfirmedMs = performance.now();
+    fixture.endpoints[0]!.handler = breakingStream("v1");
+    const confirmed: number[] = [];
+    fixture.confirmView = (afterMs) => {
+      confirmed.push(performance.now() - afterMs);
+      return Promise.resolve(true);
+    };
+    const res = await fixture.send("/resume/", {
+      headers: { "x-resumes": "r1", "last-event-id": "1" },
+    });
+    expect(versionsIn(res)).to.deep.equal(["v1"]);
+    expect(res.isComplete).to.equal(true);
+    expect(confirmed.filter((ms) => ms >= 0)).to.have.length(1);
+  });
+
+  it("does not resume at an endpoint that its view confirms to be another", async () => {
+    await start(brokenStream, ["v1", "v1"]);
+    await fixture.send("/resume/", { id: "r1" });
+    fixture.viewConfirmedMs = performance.now();
+    fixture.endpoints.forEach((endpoint) => {
+      endpoint.handler = breakingStream("v2");
+    });
+    fixture.confirmView = () => {
+      setVersions(["v2", "v2"]);
+      return Promise.resolve(true);
+    };
+    const res = await fixture.send("/resume/", {
+      headers: { "x-resumes": "r1", "last-event-id": "1" },
+    });
+    expect(versionsIn(res)).to.deep.equal([]);
+    expect(res.status).to.equal(NOT_RUN_STATUS);
+  });
+
+  // A stream that began at an endpoint which had come back at another version was
+  // recorded at the version of its old entry, and went on at that one.
+  it("does not record a stream that begins on a connection newer than the entry of its endpoint", async () => {
+    await start(brokenStream, ["v1", "v1"]);
+    setReady("v1");
+    fixture.viewConfirmedMs = performance.now();
+    fixture.confirmView = () => Promise.resolve(true);
+    fixture.endpoints[0]!.handler = brokenStream("v2");
+    fixture.endpoints[1]!.handler = breakingStream("v1");
+    const { body } = await fixture.send("/resume/", { id: "r1" });
+    setVersions(["v2", "v1"]);
+    fixture.viewConfirmedMs = Number.POSITIVE_INFINITY;
+    const res = await fixture.send("/resume/", {
+      headers: { "x-resumes": "r1", "last-event-id": "1" },
+    });
+    const versions = versionsIn({ ...res, body: body + res.body });
+    expect(new Set(versions).size).to.equal(1);
+  });
 });
