--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,7 +4,13 @@
   LoadExchange,
   type LoadExchangeOptions,
 } from "./load_exchange.ts";
-export type { LimitEntry, LoanEntry, NeedEntry } from "./limit_message.ts";
+export { decodeUpdate } from "./decode_update.ts";
+export {
+  decodeLimitMessage,
+  type LimitEntry,
+  type LoanEntry,
+  type NeedEntry,
+} from "./limit_message.ts";
 export {
   decodeLoadMessage,
   encodeLoadMessage,
--- a/packages/mirror/src/state_refresher.ts
+++ b/packages/mirror/src/state_refresher.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { type Clock, errorText, sleep } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
 import type { ChangeReader } from "./change_source.ts";
@@ -95,6 +96,7 @@
     const lateKeys = this.#lateClasses().map(({ name }) => name);
     const calls = new Set<Call>();
     const controller = new AbortController();
+    setMaxListeners(0, controller.signal);
     const abort = () => controller.abort();
     signal.addEventListener("abort", abort, { once: true });
     const failures: string[] = [];
