fix(relay): record where a stream begins only once the view is confirmed

What callers saw: suspected only; a stream that began at an endpoint which had come back at another version went on at the version of its old entry.

Cause: the origin was recorded from the entry, though the connection was newer than the node's view of it.

While the view is older than the connection, it is confirmed with the store beside the request, and the origin is recorded when that is done.

--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -18,6 +18,7 @@
   type StreamOrigins,
 } from "@limpetshed/dispatch";
 import type { RouteTable } from "@limpetshed/routing";
+import { AttemptOrigin } from "./attempt_origin.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import { abortError, attemptError, noEndpointError } from "./forward_errors.ts";
@@ -136,6 +137,7 @@
       request,
     );
     const load = endpointLoads.totalInFlight(endpoint.key);
+    const origin = new AttemptOrigin({ ...this.#options, request, endpoint });
     const attempt = new SendAttempt({
       request,
       endpoint,
@@ -160,10 +162,8 @@
           brittleness,
           options,
         ),
-      onSend: () => this.#recordOrigin(request, endpoint),
-      onFirstEvent: () => {
-        request.version ??= this.#options.versions.versionOf(endpoint);
-      },
+      onSend: (openedMs) => origin.begin(openedMs),
+      onFirstEvent: () => origin.pin(),
       onServerError: () => this.#onServerError(request, endpoint),
       isEndpointDown: () => crashGuard.isDown(endpoint),
       onEndlessDiscard: () =>
@@ -242,20 +242,6 @@
     });
   }
 
-  /** Records where a stream begins before its first event, so that the record
-   * can be stored by then. A resumed stream is recorded under the id of this
-   * attempt too, as clients may name it. */
-  #recordOrigin(
-    { route, account, requestId, service }: RelayRequest,
-    endpoint: Endpoint,
-  ): void {
-    if (route.resumable) {
-      const version = this.#options.versions.versionOf(endpoint);
-      const key = streamKey(account, requestId);
-      this.#options.streamOrigins.recordBegun(key, { service, version });
-    }
-  }
-
   #recordCompleted({ route, account, requestId }: RelayRequest): void {
     if (route.resumable) {
       const key = streamKey(account, requestId);
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -74,7 +74,7 @@
   onSend(): void {
     this.#hasStartedSending = true;
     this.#sendStartMs = this.#options.clock.monotonicMs();
-    this.#options.onSend();
+    this.#options.onSend(this.#connection.openedMs);
   }
 
   onHead(head: ResponseHead): void {
--- a/packages/relay/src/send_attempt_options.ts
+++ b/packages/relay/src/send_attempt_options.ts
@@ -41,8 +41,9 @@
     brittleness: Brittleness,
     options: { isRejected: boolean },
   ) => void;
-  /** Called when the request is about to be sent. */
-  onSend: () => void;
+  /** Called when the request is about to be sent, with the monotonic time at which
+   * its connection was established. */
+  onSend: (connectionOpenedMs: number) => void;
   /** Called before the first events of a resumable stream are passed on. */
   onFirstEvent: () => void;
   /** Called with the time to the head of a usable response, milliseconds. */
--- a/packages/relay/tests/software_version_test.ts
+++ b/packages/relay/tests/software_version_test.ts
@@ -177,6 +177,7 @@
     const confirmed: number[] = [];
     fixture.confirmView = (afterMs) => {
       confirmed.push(performance.now() - afterMs);
+      fixture.viewConfirmedMs = performance.now();
       return Promise.resolve(true);
     };
     const res = await fixture.send("/resume/", {
@@ -209,14 +210,15 @@
   // recorded at the version of its old entry, and went on at that one.
   it("does not record a stream that begins on a connection newer than the entry of its endpoint", async () => {
     await start(brokenStream, ["v1", "v1"]);
-    setReady("v1");
     fixture.viewConfirmedMs = performance.now();
-    fixture.confirmView = () => Promise.resolve(true);
+    fixture.confirmView = () => {
+      setVersions(["v2", "v1"]);
+      fixture.viewConfirmedMs = performance.now();
+      return Promise.resolve(true);
+    };
     fixture.endpoints[0]!.handler = brokenStream("v2");
     fixture.endpoints[1]!.handler = breakingStream("v1");
     const { body } = await fixture.send("/resume/", { id: "r1" });
-    setVersions(["v2", "v1"]);
-    fixture.viewConfirmedMs = Number.POSITIVE_INFINITY;
     const res = await fixture.send("/resume/", {
       headers: { "x-resumes": "r1", "last-event-id": "1" },
     });
