--- a/packages/fleet_relay/tests/state_replica_test.ts
+++ b/packages/fleet_relay/tests/state_replica_test.ts
@@ -54,4 +54,32 @@
     }
     await fleet.close();
   });
+
+  // Nodes whose peers did not pass on changes in time kept sending requests to
+  // endpoints that had said that they leave.
+  it("reads the store without being a watcher if its state is not confirmed", async () => {
+    const fleet = new SimulatedFleet({
+      nodes: 6,
+      zones: 1,
+      linkMbps: 10,
+      peerMbps: 0.001,
+      boundMs: BOUND_MS,
+      seed: 1,
+    });
+    fleet.store.put("servers/e1", { bytes: 400 });
+    await fleet.clock.advance(3_000);
+    const callsBefore = fleet.store.calls;
+    fleet.learnt.length = 0;
+    fleet.store.put("servers/e1", { bytes: 400 });
+    await fleet.clock.advance(BOUND_MS);
+    const followers = [...fleet.nodes.values()].filter(({ replica }) =>
+      !replica.sourceSelector.isWatcher
+    );
+    expect(followers.length).to.be.above(0);
+    for (const { id } of followers) {
+      expect(fleet.learnt.map(({ node }) => node)).to.include(id);
+    }
+    expect(fleet.store.calls).to.be.above(callsBefore);
+    await fleet.close();
+  });
 });
--- a/packages/mirror/tests/state_refresher_test.ts
+++ b/packages/mirror/tests/state_refresher_test.ts
@@ -186,6 +186,17 @@
     expect(calls.length).to.be.above(callCount);
   });
 
+  it("tries again after the outage pause, also if no peer reaches the store", async () => {
+    const { clock, calls, peers } = setUp({ respond: "refuse" });
+    peers.reachStore = false;
+    await clock.advance(2_000);
+    const callCount = calls.length;
+    await clock.advance(4_000);
+    expect(calls.length).to.equal(callCount);
+    await clock.advance(2_000);
+    expect(calls.length).to.be.above(callCount);
+  });
+
   it("ends its calls when it is closed", async () => {
     const { clock, calls, refresher } = setUp();
     await clock.advance(1_000);
