fix(dispatch): let LRU caches take memory only as they fill

Cause: lru-cache with the option max lays out all entries in the constructor, and overwrites them all when its only entry is deleted. A node with few requests deletes the only unfinished stream with each request: 50,000 entries each time. A profile of a start had 25 ms of 259 ms in these constructors, one of requests 2% in that overwriting. Change: bound the entries by size instead, through boundedEntries.

--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@limpetshed/base";
 import { LRUCache } from "lru-cache";
+import { boundedEntries } from "./bounded_entries.ts";
 import type { EndpointEntry } from "./endpoint_entry.ts";
 import { type LeavingSource, ToldLeavings } from "./told_leavings.ts";
 
@@ -43,9 +44,9 @@
   readonly #usableByService = new Map<string, readonly Endpoint[]>();
   readonly #toldLeavings = new ToldLeavings();
   /** Incarnations that ended without saying that they leave. */
-  readonly #restartedKeys = new LRUCache<string, true>({
-    max: MAX_RESTARTED_KEYS,
-  });
+  readonly #restartedKeys = new LRUCache<string, true>(
+    boundedEntries(MAX_RESTARTED_KEYS),
+  );
   #version = 0;
 
   constructor(options: EndpointRegistryOptions) {
--- a/packages/dispatch/src/lost_responses.ts
+++ b/packages/dispatch/src/lost_responses.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@limpetshed/base";
 import { LRUCache } from "lru-cache";
+import { boundedEntries } from "./bounded_entries.ts";
 
 /** A response that ended before it was complete. */
 export interface LostResponse {
@@ -33,10 +34,12 @@
  */
 export class LostResponses {
   readonly #clock: Clock;
-  readonly #byEndpoint = new LRUCache<string, LostResponse[]>({
-    max: MAX_ENDPOINTS,
-  });
-  readonly #downSinceMs = new LRUCache<string, number>({ max: MAX_ENDPOINTS });
+  readonly #byEndpoint = new LRUCache<string, LostResponse[]>(
+    boundedEntries(MAX_ENDPOINTS),
+  );
+  readonly #downSinceMs = new LRUCache<string, number>(
+    boundedEntries(MAX_ENDPOINTS),
+  );
 
   constructor({ clock }: { clock: Clock }) {
     this.#clock = clock;
--- a/packages/dispatch/src/prefix_cache_index.ts
+++ b/packages/dispatch/src/prefix_cache_index.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@limpetshed/base";
 import { LRUCache } from "lru-cache";
+import { boundedEntries } from "./bounded_entries.ts";
 
 /** A prompt part and an endpoint that caches the prompt up to and including
  * it. */
@@ -54,7 +55,7 @@
   ) {
     this.#clock = clock;
     this.#ttlMs = ttlMs;
-    this.#parts = new LRUCache({ max: maxParts });
+    this.#parts = new LRUCache(boundedEntries(maxParts));
   }
 
   /** Records that an endpoint caches the part, because this node sent it a
--- a/packages/dispatch/src/proven_traits.ts
+++ b/packages/dispatch/src/proven_traits.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@limpetshed/base";
 import { LRUCache } from "lru-cache";
+import { boundedEntries } from "./bounded_entries.ts";
 
 /** Traits that are remembered; an entry takes about 150 bytes. */
 const MAX_TRAITS = 10_000;
@@ -10,8 +11,12 @@
  * requests of each service were. */
 export class ProvenTraits {
   readonly #clock: Clock;
-  readonly #completedMs = new LRUCache<string, number>({ max: MAX_TRAITS });
-  readonly #countByService = new LRUCache<string, number>({ max: MAX_TRAITS });
+  readonly #completedMs = new LRUCache<string, number>(
+    boundedEntries(MAX_TRAITS),
+  );
+  readonly #countByService = new LRUCache<string, number>(
+    boundedEntries(MAX_TRAITS),
+  );
 
   constructor({ clock }: { clock: Clock }) {
     this.#clock = clock;
--- a/packages/dispatch/src/stream_origins.ts
+++ b/packages/dispatch/src/stream_origins.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@limpetshed/base";
 import { hash64 } from "@limpetshed/hashing";
 import { LRUCache } from "lru-cache";
+import { boundedEntries } from "./bounded_entries.ts";
 
 /** Service and software version of the endpoint that began a stream. */
 export interface StreamOrigin {
@@ -68,8 +69,8 @@
     { clock, maxStreams = DEFAULT_MAX_STREAMS }: StreamOriginsOptions,
   ) {
     this.#clock = clock;
-    this.#origins = new LRUCache({ max: maxStreams });
-    this.#unstored = new LRUCache({ max: maxStreams });
+    this.#origins = new LRUCache(boundedEntries(maxStreams));
+    this.#unstored = new LRUCache(boundedEntries(maxStreams));
   }
 
   /** Registers a listener for streams of this node that begin from now on. */
--- a/packages/dispatch/src/suspect_traits.ts
+++ b/packages/dispatch/src/suspect_traits.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@limpetshed/base";
 import { LRUCache } from "lru-cache";
+import { boundedEntries } from "./bounded_entries.ts";
 import { isPartTrait, traitService } from "./crash_traits.ts";
 import type { ProvenTraits } from "./proven_traits.ts";
 import { type Crash, TraitEvidence } from "./trait_evidence.ts";
@@ -67,12 +68,12 @@
   /** Traits with one crash, or with none that still speaks against them. Kept
    * apart so that they cannot displace evidence that several crashes share. */
   readonly #single = new LRUCache<string, Suspect>({
-    max: MAX_SINGLE_TRAITS,
+    ...boundedEntries(MAX_SINGLE_TRAITS),
     dispose: (_suspect, trait, reason) => this.#onDisposed(trait, reason),
   });
   /** Traits with several crashes. */
   readonly #repeated = new LRUCache<string, Suspect>({
-    max: MAX_REPEATED_TRAITS,
+    ...boundedEntries(MAX_REPEATED_TRAITS),
     dispose: (_suspect, trait, reason) => this.#onDisposed(trait, reason),
   });
   #dropped = 0;
--- a/packages/dispatch/src/told_leavings.ts
+++ b/packages/dispatch/src/told_leavings.ts
@@ -1,4 +1,5 @@
 import { LRUCache } from "lru-cache";
+import { boundedEntries } from "./bounded_entries.ts";
 
 /** Who said that an endpoint leaves. */
 export type LeavingSource =
@@ -13,7 +14,9 @@
 /** Endpoints that said outside their entries that they leave, by key. What they said
  * themselves holds until they start anew; what others passed on is a hint. */
 export class ToldLeavings {
-  readonly #sources = new LRUCache<string, LeavingSource>({ max: MAX_KEYS });
+  readonly #sources = new LRUCache<string, LeavingSource>(
+    boundedEntries(MAX_KEYS),
+  );
   /** Told to this node and not passed on yet. */
   #news: string[] = [];
 
