--- a/scripts/bundle_launcher.cjs
+++ b/scripts/bundle_launcher.cjs
@@ -7,12 +7,6 @@
 const { setFlagsFromString } = require("node:v8");
 const { Script } = require("node:vm");
 
-/** Bytes that a WebAssembly function executes, roughly, before V8 optimizes it:
- * those of thousands of responses for the HTTP parser. Optimizing that takes more
- * processor time than all else that a node does at startup, and by default begins
- * with the first responses. */
-const WASM_TIERING_BUDGET_BYTES = 1_000_000_000;
-
 const filename = join(__dirname, "limpetshed_bundle.cjs");
 
 /** The code cache; undefined if it cannot be read. */
@@ -29,8 +23,11 @@
   filename,
   cachedData: readCodeCache(),
 });
-// Flags that are set earlier would make V8 reject the cache.
-setFlagsFromString(`--wasm-tiering-budget=${WASM_TIERING_BUDGET_BYTES}`);
+// V8 would optimize the HTTP parser, a WebAssembly function, after a hundred
+// responses, which takes as much processor time as all the rest of a start; the
+// parser's share of a request is too small to win that back. A flag that is set
+// before the script is made would have its cache rejected.
+setFlagsFromString("--liftoff-only");
 script.runInThisContext().call(
   exports,
   exports,
