fix(mirror): gather changes, and stay with one parent, while entries are renewed

Cause: endpoints renew their entries about once a second and each renewal is a change of shared state. As some node always has a higher revision, followers went from one to the next instead of their parent, with a new connection for each, and the order of watchers was hashed and sorted again for each look at it. Change: after an update with changes a node waits for 0.035 of the propagation bound; a node leaves its parent only if it takes too long to reach a revision that it has heard of (LagDetector); the order of watchers is kept until the nodes change (WatcherRanking). docs/design/propagation.md has the sums. Callers saw nothing of it but late answers of busy nodes.

--- a/packages/fleet_relay/src/state_replica.ts
+++ b/packages/fleet_relay/src/state_replica.ts
@@ -8,6 +8,7 @@
   KeyMirror,
   makePropagationBudget,
   MirrorFollower,
+  type PropagationBudget,
   StateConfirmer,
   StateRefresher,
 } from "@limpetshed/mirror";
@@ -56,6 +57,7 @@
     const { clock, logger, settings, directory, storeSource } = options;
     this.#clock = clock;
     this.mirror = new KeyMirror({ classes: options.keyClasses });
+    const budget = makePropagationBudget(settings.propagationMs);
     this.sourceSelector = new StateSourceSelector({
       clock,
       rng: options.rng,
@@ -65,11 +67,11 @@
       directory,
       mirror: this.mirror,
       seeds: settings.seeds,
+      gatherMs: budget.gatherMs,
     });
     const { makePeerSource = makeHttpSource(clock) } = options;
     this.#peerSource = makePeerSource(() => this.sourceSelector.selectPeer());
-    this.followers = this.#makeFollowers(options);
-    const budget = makePropagationBudget(settings.propagationMs);
+    this.followers = this.#makeFollowers(options, budget);
     this.#confirmer = new StateConfirmer({
       clock,
       mirror: this.mirror,
@@ -136,9 +138,10 @@
 
   #makeFollowers(
     { clock, logger, storeSource }: StateReplicaOptions,
+    { gatherMs }: PropagationBudget,
   ): StateReplica["followers"] {
     const selector = this.sourceSelector;
-    const shared = { clock, logger, mirror: this.mirror };
+    const shared = { clock, logger, mirror: this.mirror, gatherMs };
     const store = new MirrorFollower({
       ...shared,
       source: storeSource,
--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -6,8 +6,10 @@
   type StoreConnectivity,
   type WatcherCandidate,
 } from "@limpetshed/fleet";
-import { rendezvousRank, type Rng } from "@limpetshed/hashing";
+import type { Rng } from "@limpetshed/hashing";
 import type { KeyMirror, MirrorFollower } from "@limpetshed/mirror";
+import { LagDetector } from "./lag_detector.ts";
+import { WatcherRanking } from "./watcher_ranking.ts";
 
 /** Options of {@linkcode StateSourceSelector}. */
 export interface StateSourceSelectorOptions {
@@ -21,11 +23,15 @@
   mirror: KeyMirror;
   /** Addresses of a few nodes; may be stale. */
   seeds: readonly string[];
+  /** For how long nodes gather changes at each hop, milliseconds. */
+  gatherMs?: number;
 }
 
-/** A watcher that has been behind its peers for this long, in milliseconds, also
- * reads from them; changes normally reach all nodes within some milliseconds. */
+/** Lag behind other nodes beyond the time that changes are gathered for,
+ * milliseconds: a node that lags further reads from the most up-to-date one. */
 const MAX_LAG_MS = 200;
+/** From the store to a node: the watcher and up to three followers. */
+const MAX_HOPS = 4;
 /** Time for which a starting node waits for the store before it asks other
  * nodes, milliseconds; many times the usual response time. Keeps a fleet that
  * starts at once from overloading the few seed nodes. */
@@ -42,13 +48,21 @@
 /** Decides whether a node watches the store, follows another node, or both. */
 export class StateSourceSelector {
   readonly #options: StateSourceSelectorOptions;
+  readonly #watcherRanking: WatcherRanking;
+  readonly #lagDetector: LagDetector;
   #seeds: readonly string[];
   #storeFollower: MirrorFollower | undefined;
   readonly #startMs: number;
-  #behindSinceMs: number | undefined;
 
   constructor(options: StateSourceSelectorOptions) {
     this.#options = options;
+    this.#watcherRanking = new WatcherRanking({
+      nodeIds: () => options.directory.nodeIds(),
+    });
+    this.#lagDetector = new LagDetector({
+      clock: options.clock,
+      maxLagMs: MAX_LAG_MS + MAX_HOPS * (options.gatherMs ?? 0),
+    });
     this.#seeds = options.seeds;
     this.#startMs = options.clock.monotonicMs();
   }
@@ -104,29 +118,34 @@
    * while its connection to the store is not open, or when it lags behind its
    * peers. */
   get shouldFollowPeers(): boolean {
-    const { clock, directory, mirror } = this.#options;
+    const { clock, mirror } = this.#options;
     if (mirror.asOf === 0 && this.storeConnectivity === "unknown") {
       return clock.monotonicMs() - this.#startMs >= INITIAL_STORE_TIMEOUT_MS;
     }
     if (!this.isWatcher || this.storeConnectivity !== "open") {
       return true;
     }
-    const newestRevision = directory.mostUpToDatePeer()?.asOf ?? 0;
-    if (newestRevision <= mirror.asOf) {
-      this.#behindSinceMs = undefined;
-      return false;
-    }
-    const now = clock.monotonicMs();
-    this.#behindSinceMs ??= now;
-    return now - this.#behindSinceMs >= MAX_LAG_MS;
+    return this.#isLagging();
+  }
+
+  /** Whether this node is late to learn what its peers know. */
+  #isLagging(): boolean {
+    const { directory, mirror } = this.#options;
+    return this.#lagDetector.isLagging({
+      ownRevision: mirror.asOf,
+      newestRevision: directory.mostUpToDatePeer()?.asOf ?? 0,
+    });
   }
 
-  /** Address of the node to read changes from: one that is ahead, else the
-   * parent in this zone, else a watcher, else any known node or seed. */
+  /** Address of the node to read changes from: one that is ahead if this node has
+   * no state or lags, else the parent in this zone, else a watcher, else any known node or seed. */
   selectPeer(): string | undefined {
     const { directory, mirror, rng } = this.#options;
     const mostUpToDate = directory.mostUpToDatePeer();
-    if (mostUpToDate !== undefined && mostUpToDate.asOf > mirror.asOf) {
+    if (
+      mostUpToDate !== undefined && mostUpToDate.asOf > mirror.asOf &&
+      (mirror.asOf === 0 || this.#isLagging())
+    ) {
       return mostUpToDate.callAddress;
     }
     const live = directory.livePeers();
@@ -155,7 +174,10 @@
       peer.availabilityZone === availabilityZone &&
       peer.storeConnectivity !== "lost"
     );
-    const ranked = rankWatchers([nodeId, ...sameZone.map(({ id }) => id)]);
+    const ranked = this.#watcherRanking.rank([
+      nodeId,
+      ...sameZone.map(({ id }) => id),
+    ]);
     const ownRank = ranked.indexOf(nodeId);
     const parentId = ranked[Math.floor((ownRank - 1) / MAX_FOLLOWERS_PER_NODE)];
     return sameZone.find(({ id }) => id === parentId);
@@ -169,11 +191,9 @@
       availabilityZone,
       storeConnectivity: this.storeConnectivity,
     };
-    return chooseWatchers([self, ...directory.livePeers()], rankWatchers);
+    return chooseWatchers(
+      [self, ...directory.livePeers()],
+      (ids) => this.#watcherRanking.rank(ids),
+    );
   }
 }
-
-/** Order in which nodes are preferred as watchers of the store. */
-function rankWatchers(ids: readonly string[]): string[] {
-  return rendezvousRank("watch", ids);
-}
--- a/packages/fleet_relay/tests/support/simulated_fleet.ts
+++ b/packages/fleet_relay/tests/support/simulated_fleet.ts
@@ -69,6 +69,8 @@
   /** Whether its process has ended. */
   isStopped = false;
   datagramOffset = 0;
+  /** Addresses of its calls to other nodes, in order. */
+  readonly calledPeers: string[] = [];
 
   constructor(
     { id, zone, fleet, options }: {
@@ -160,6 +162,7 @@
     { signal }: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot> {
     this.address = this.#selectPeer();
+    this.#node.calledPeers.push(this.address ?? "");
     return withProgressTimeout(
       this.#fleet.clock,
       (onProgress) => this.#call(revision, { signal, onProgress }),
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -1,4 +1,4 @@
-import { type Clock, errorText, sleep } from "@limpetshed/base";
+import { type Clock, errorText, sharedWakeUpMs, sleep } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
 import type { ChangeBatch, ChangeSource, Snapshot } from "./change_source.ts";
 import type { KeyMirror } from "./key_mirror.ts";
@@ -11,6 +11,10 @@
   logger: Logger;
   /** Whether to poll the source; checked before each call. */
   isEnabled?: () => boolean;
+  /** Delay before the next call after one that brought changes, milliseconds: in
+   * a large deployment something changes all the time, and calls would follow each
+   * other without a pause. */
+  gatherMs?: number;
   /** Delay after the first failure, milliseconds; doubles with each further
    * failure up to `maxRetryDelayMs`. */
   initialRetryDelayMs?: number;
@@ -35,6 +39,7 @@
   constructor(options: MirrorFollowerOptions) {
     this.#options = {
       isEnabled: () => true,
+      gatherMs: 0,
       initialRetryDelayMs: 50,
       maxRetryDelayMs: 400,
       disabledPollMs: 100,
@@ -73,19 +78,22 @@
   }
 
   async #run(): Promise<void> {
-    const { clock, isEnabled, disabledPollMs } = this.#options;
+    const { clock, isEnabled, gatherMs, disabledPollMs } = this.#options;
     const { signal } = this.#abortController;
     while (!signal.aborted) {
       if (!isEnabled()) {
         // The state of a source that is not polled is unknown.
         this.#isReachable = false;
         this.#consecutiveFailures = 0;
-        await sleep(clock, disabledPollMs, { signal });
+        await sleep(clock, sharedWakeUpMs(clock, disabledPollMs), { signal });
         continue;
       }
       try {
-        await this.#fetchAndApplyUpdate(signal);
+        const hasChanges = await this.#fetchAndApplyUpdate(signal);
         this.#recordSuccess();
+        if (hasChanges && gatherMs > 0) {
+          await sleep(clock, gatherMs, { signal });
+        }
       } catch (err) {
         if (!signal.aborted) {
           this.#recordFailure(err);
@@ -95,7 +103,8 @@
     }
   }
 
-  async #fetchAndApplyUpdate(signal: AbortSignal): Promise<void> {
+  /** Resolves to whether the update has changes of the state that was known. */
+  async #fetchAndApplyUpdate(signal: AbortSignal): Promise<boolean> {
     const { mirror, source, clock } = this.#options;
     const { asOf } = mirror;
     this.#callStartMs = clock.monotonicMs();
@@ -112,6 +121,7 @@
     const receivedMs = clock.monotonicMs();
     const confirmedMs = receivedMs - (update.ageMs ?? 0);
     mirror.apply(update, { receivedMs, confirmedMs });
+    return update.kind === "changes" && update.changes.length > 0;
   }
 
   #recordSuccess(): void {
--- a/packages/mirror/src/propagation_budget.ts
+++ b/packages/mirror/src/propagation_budget.ts
@@ -6,6 +6,9 @@
   totalMs: number;
   /** For how long an idle watch of the store waits. */
   watchWaitMs: number;
+  /** For how long a node that has received changes gathers further ones before it
+   * asks again. */
+  gatherMs: number;
   /** Age of a node's state at which the node reads it from the store itself. */
   maxStateAgeMs: number;
   /** Time after which a call that is not answered gets another beside it. */
@@ -17,6 +20,8 @@
 
 // See docs/design/propagation.md for the sum.
 const WATCH_WAIT_SHARE = 0.25;
+/** Once for the watcher, and for each of the three hops to followers. */
+const GATHER_SHARE = 0.035;
 const MAX_STATE_AGE_SHARE = 0.4;
 const CALL_SHARE = 0.125;
 
@@ -27,6 +32,7 @@
   return {
     totalMs,
     watchWaitMs: Math.round(WATCH_WAIT_SHARE * totalMs),
+    gatherMs: Math.round(GATHER_SHARE * totalMs),
     maxStateAgeMs: Math.round(MAX_STATE_AGE_SHARE * totalMs),
     callMs: Math.round(CALL_SHARE * totalMs),
   };
