fix(dispatch): keep sums of loads up to date instead of adding up all nodes

Cause: each message of another node discarded the sums over all nodes, so the next request added up nodes x endpoints; a datagram of loads was parsed as JSON three times; each datagram asked the resolver for an IP address. Change: LoadTracker takes the difference of one node's counts; loads are decoded first; the host of a datagram is taken as an address. Result: the test with 407 other nodes goes through the counts of one; it went through all before.

--- a/packages/dispatch/src/load_tracker.ts
+++ b/packages/dispatch/src/load_tracker.ts
@@ -25,8 +25,9 @@
     string,
     { counts: Map<string, number>; atMs: number }
   >();
-  /** Cached sums over the other nodes; undefined after a change. */
-  #peerTotals: Map<string, number> | undefined;
+  /** Sums over the other nodes, by endpoint. Kept up to date with each change: to
+   * add up all nodes again would cost nodes x endpoints for each message. */
+  readonly #peerTotals = new Map<string, number>();
 
   constructor({ clock }: { clock: Clock }) {
     this.#clock = clock;
@@ -52,8 +53,9 @@
 
   /** Replaces another node's requests in flight, by endpoint. */
   setPeerCounts(node: string, counts: Map<string, number>): void {
+    this.#addToTotals(this.#peers.get(node)?.counts, -1);
+    this.#addToTotals(counts, 1);
     this.#peers.set(node, { counts, atMs: this.#clock.monotonicMs() });
-    this.#peerTotals = undefined;
   }
 
   /** This node's requests in flight by endpoint; endpoints with none are left
@@ -76,7 +78,7 @@
   /** Estimate of all nodes' requests in flight at `endpoint`. */
   totalInFlight(endpoint: string): number {
     const load = this.#loads.get(endpoint);
-    const fromPeers = this.#sumPeerCounts().get(endpoint) ?? 0;
+    const fromPeers = this.#peerTotals.get(endpoint) ?? 0;
     if (load === undefined) {
       return fromPeers;
     }
@@ -98,26 +100,26 @@
    * milliseconds ago. */
   expirePeers(maxAgeMs: number): void {
     const oldestMs = this.#clock.monotonicMs() - maxAgeMs;
-    for (const [node, { atMs }] of this.#peers) {
+    for (const [node, { counts, atMs }] of this.#peers) {
       if (atMs < oldestMs) {
+        this.#addToTotals(counts, -1);
         this.#peers.delete(node);
-        this.#peerTotals = undefined;
       }
     }
   }
 
-  #sumPeerCounts(): ReadonlyMap<string, number> {
-    if (this.#peerTotals !== undefined) {
-      return this.#peerTotals;
-    }
-    const totals = new Map<string, number>();
-    for (const { counts } of this.#peers.values()) {
-      for (const [endpoint, count] of counts) {
-        totals.set(endpoint, (totals.get(endpoint) ?? 0) + count);
+  #addToTotals(
+    counts: ReadonlyMap<string, number> | undefined,
+    sign: 1 | -1,
+  ): void {
+    for (const [endpoint, count] of counts ?? []) {
+      const total = (this.#peerTotals.get(endpoint) ?? 0) + sign * count;
+      if (total === 0) {
+        this.#peerTotals.delete(endpoint);
+      } else {
+        this.#peerTotals.set(endpoint, total);
       }
     }
-    this.#peerTotals = totals;
-    return totals;
   }
 
   #load(endpoint: string): Load {
--- a/packages/dispatch/tests/load_tracker_test.ts
+++ b/packages/dispatch/tests/load_tracker_test.ts
@@ -3,6 +3,16 @@
 import { describe, it } from "mocha";
 import { LoadTracker } from "../src/load_tracker.ts";
 
+/** Counts how often its entries are gone through. */
+class CountedMap extends Map<string, number> {
+  passes = 0;
+
+  override [Symbol.iterator]() {
+    this.passes += 1;
+    return super[Symbol.iterator]();
+  }
+}
+
 describe("LoadTracker", () => {
   it("adds the counts of other nodes to the local ones", () => {
     const loads = new LoadTracker({ clock: new ManualClock() });
@@ -37,6 +47,20 @@
     expect(loads.totalInFlight("e1")).to.equal(0);
   });
 
+  it("goes through one node's counts for a message, whatever the fleet", () => {
+    const loads = new LoadTracker({ clock: new ManualClock() });
+    const others = Array.from(
+      { length: 407 },
+      () => new CountedMap([["e1", 1]]),
+    );
+    others.forEach((counts, index) => loads.setPeerCounts(`n${index}`, counts));
+    loads.totalInFlight("e1");
+    others.forEach((counts) => counts.passes = 0);
+    loads.setPeerCounts("n0", new Map([["e1", 3], ["e2", 1]]));
+    expect(loads.totalInFlight("e1")).to.equal(409);
+    expect(others.filter(({ passes }) => passes > 0)).to.have.length(1);
+  });
+
   it("never counts below zero", () => {
     const loads = new LoadTracker({ clock: new ManualClock() });
     loads.end("e1");
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -20,7 +20,11 @@
   decodeLeavingMessage,
   encodeLeavingMessage,
 } from "./leaving_message.ts";
-import { decodeLoadMessage, encodeLoadMessage } from "./load_message.ts";
+import {
+  decodeLoadMessage,
+  encodeLoadMessage,
+  type LoadMessage,
+} from "./load_message.ts";
 import type { Peer, PeerDirectory } from "./peer_directory.ts";
 import {
   FANOUT,
@@ -109,6 +113,16 @@
   inFlightByEndpoint: Map<string, number>;
 }
 
+/** Takes the host of a datagram as an IP address, which all are here: the default
+ * asks the resolver for each datagram. */
+function takeAsAddress(
+  host: string,
+  _options: unknown,
+  done: (err: null, address: string, family: number) => void,
+): void {
+  done(null, host, 4);
+}
+
 /** Broadcasts this node's load, placements and crash reports to its peers over
  * UDP and receives theirs. */
 export class LoadExchange {
@@ -129,7 +143,7 @@
 
   constructor(options: LoadExchangeOptions) {
     this.#options = options;
-    this.#socket = createSocket("udp4");
+    this.#socket = createSocket({ type: "udp4", lookup: takeAsAddress });
     this.#socket.on("message", (data) => {
       try {
         this.#receive(data);
@@ -262,6 +276,12 @@
   }
 
   #receive(data: Buffer): void {
+    // By far the most datagrams are of loads.
+    const message = decodeLoadMessage(data);
+    if (message !== undefined) {
+      this.#receiveLoad(message);
+      return;
+    }
     const limitMessage = decodeLimitMessage(data);
     if (limitMessage !== undefined) {
       this.#receiveLimits(limitMessage);
@@ -272,11 +292,10 @@
       this.#options.onLeavings(leavings);
       return;
     }
-    const message = decodeLoadMessage(data);
-    if (message === undefined) {
-      this.#options.onOtherDatagram(data);
-      return;
-    }
+    this.#options.onOtherDatagram(data);
+  }
+
+  #receiveLoad(message: LoadMessage): void {
     const { nodeId, incarnation, round, inFlightByEndpoint } = message;
     const { directory, onPeerInFlight, onPlacements, onCrashReports } =
       this.#options;
