perf(base): wake a node for its periodic tasks together

Cause: an idle node woke 36 times a second for tasks that mostly find nothing to do, each with a promise, and 33 times more while no endpoint has a cache; each request made an error for the close of its body, and each response of the store or a node went through an asynchronous iterator.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -20,6 +20,7 @@
 export { repeat, type RepeatingTask, type RepeatOptions } from "./repeat.ts";
 export { resetConnection } from "./reset_connection.ts";
 export { ResetDetector } from "./reset_detector.ts";
+export { sharedWakeUpMs } from "./shared_wake_up.ts";
 export { sleep } from "./sleep.ts";
 export { SystemClock } from "./system_clock.ts";
 export { TokenBucket } from "./token_bucket.ts";
--- a/packages/base/src/read_stream.ts
+++ b/packages/base/src/read_stream.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import type { Readable } from "node:stream";
 
 /**
  * Reads a stream to its end.
@@ -6,23 +7,34 @@
  * @param onProgress Called with each chunk that arrives.
  * @throws Error if the stream exceeds `maxBytes`; the rest is not read.
  */
-export async function readStream(
-  stream: AsyncIterable<Uint8Array>,
+export function readStream(
+  stream: Readable,
   { maxBytes, onProgress = () => {} }: {
     maxBytes: number;
     onProgress?: () => void;
   },
 ): Promise<Buffer> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
-  // Leaving the loop destroys the stream.
-  for await (const chunk of stream) {
-    bytes += chunk.length;
-    if (bytes > maxBytes) {
-      throw new Error(`the response is larger than ${maxBytes} bytes`);
-    }
-    chunks.push(chunk);
-    onProgress();
-  }
-  return Buffer.concat(chunks);
+  // Listeners take a fraction of the time that an asynchronous iteration takes.
+  return new Promise((resolve, reject) => {
+    const chunks: Uint8Array[] = [];
+    let bytes = 0;
+    stream.on("data", (chunk: Uint8Array) => {
+      bytes += chunk.length;
+      if (bytes > maxBytes) {
+        stream.destroy(
+          new Error(`the response is larger than ${maxBytes} bytes`),
+        );
+        return;
+      }
+      chunks.push(chunk);
+      onProgress();
+    });
+    stream.once("end", () => resolve(Buffer.concat(chunks)));
+    stream.on("error", reject);
+    stream.once("close", () => {
+      if (!stream.readableEnded) {
+        reject(new Error("the stream was closed before its end"));
+      }
+    });
+  });
 }
--- a/packages/fleet_relay/src/placement_recovery.ts
+++ b/packages/fleet_relay/src/placement_recovery.ts
@@ -36,8 +36,10 @@
   ) => Promise<string[]>;
 }
 
-/** Poll interval while no endpoint with a cache is known. */
-const ENDPOINTS_POLL_MS = 30;
+/** Poll interval while no endpoint with a cache is known; doubles with each poll up
+ * to the maximum, since there may never be one. */
+const FIRST_ENDPOINTS_POLL_MS = 30;
+const MAX_ENDPOINTS_POLL_MS = 480;
 
 /** After a start of this node, restores its records of the prompt parts that
  * each endpoint has cached, from another node or from the endpoints. */
@@ -107,8 +109,10 @@
    * register again within seconds. */
   async #waitForEndpoints(): Promise<void> {
     const { signal } = this.#abortController;
+    let pollMs = FIRST_ENDPOINTS_POLL_MS;
     do {
-      await sleep(this.#options.clock, ENDPOINTS_POLL_MS, { signal });
+      await sleep(this.#options.clock, pollMs, { signal });
+      pollMs = Math.min(MAX_ENDPOINTS_POLL_MS, 2 * pollMs);
     } while (this.#cachingEndpoints().length === 0 && !signal.aborted);
   }
 
--- a/packages/relay/src/read_body.ts
+++ b/packages/relay/src/read_body.ts
@@ -33,9 +33,18 @@
       }
       chunks.push(chunk);
     });
-    req.once("end", () => resolve(Buffer.concat(chunks)));
+    let isRead = false;
+    req.once("end", () => {
+      isRead = true;
+      resolve(Buffer.concat(chunks));
+    });
     req.once("error", (err) => reject(clientDisconnectedError(err)));
-    req.once("close", () => reject(clientDisconnectedError()));
+    req.once("close", () => {
+      // Each request closes; an error takes longer to make than the rest of this.
+      if (!isRead) {
+        reject(clientDisconnectedError());
+      }
+    });
   });
 }
 
