fix(relay): ask the store where streams begin only when it matters at once

Cause: a resumable stream that begins on a connection newer than the node's view read the store before it was recorded. Change: while the service has one version, nothing of streams is stored, so the record waits for the usual sources (ConfirmationWaiters) and is dropped when the stream is complete. A stream that is broken off after its first event is found out about first, as are all streams while there are several versions.

--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -254,6 +254,7 @@
       view: {
         confirmedMs: () => this.#state.mirror.confirmedMs,
         confirm: (afterMs) => this.#state.confirm(afterMs),
+        onceConfirmed: (afterMs, fn) => this.#state.onceConfirmed(afterMs, fn),
       },
       makePolicy: (
         { endpointLoads, prefixCacheIndex, registry },
--- a/packages/fleet_relay/src/state_replica.ts
+++ b/packages/fleet_relay/src/state_replica.ts
@@ -4,6 +4,7 @@
 import {
   type ChangeReader,
   type ChangeSource,
+  ConfirmationWaiters,
   type KeyClass,
   KeyMirror,
   makePropagationBudget,
@@ -51,6 +52,7 @@
   readonly #peerSource: PeerSource;
   readonly #refresher: StateRefresher;
   readonly #confirmer: StateConfirmer;
+  readonly #confirmationWaiters: ConfirmationWaiters;
   readonly #ages: StateAges;
 
   constructor(options: StateReplicaOptions) {
@@ -91,6 +93,9 @@
         peer: this.#peerSource.address,
       }),
     });
+    this.#confirmationWaiters = new ConfirmationWaiters({
+      mirror: this.mirror,
+    });
     this.#ages = new StateAges({
       mirror: this.mirror,
       metrics: options.metrics,
@@ -125,8 +130,15 @@
     return this.#confirmer.confirm(afterMs);
   }
 
+  /** Calls `fn` once followers or the refresher have confirmed the state after the
+   * monotonic time `afterMs`; the function that it returns cancels that. */
+  onceConfirmed(afterMs: number, fn: () => void): () => void {
+    return this.#confirmationWaiters.add(afterMs, fn);
+  }
+
   /** Ends all calls in progress. */
   async close(): Promise<void> {
+    this.#confirmationWaiters.close();
     this.#confirmer.close();
     this.#peerSource.close();
     await Promise.all([
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -32,3 +32,4 @@
   StateConfirmer,
   type StateConfirmerOptions,
 } from "./state_confirmer.ts";
+export { ConfirmationWaiters } from "./confirmation_waiters.ts";
--- a/packages/relay/src/attempt_origin.ts
+++ b/packages/relay/src/attempt_origin.ts
@@ -1,6 +1,7 @@
 import {
   type Endpoint,
   type EndpointRegistry,
+  type SendOutcome,
   type ServiceVersions,
   streamKey,
   type StreamOrigins,
@@ -19,15 +20,24 @@
   streamOrigins: StreamOrigins;
 }
 
-/** Records at which software version the stream of one attempt begins. While the
+/**
+ * Records at which software version the stream of one attempt begins. While the
  * node's view is older than the connection, the endpoint may be another one than
- * its entry says: then the stream goes on nowhere until the view is confirmed. */
+ * its entry says: then the stream goes on nowhere until the view is confirmed.
+ * That is asked of the store only if it matters at once, since in a large fleet
+ * most streams begin on new connections.
+ */
 export class AttemptOrigin {
   readonly #options: AttemptOriginOptions;
+  readonly #verifier: VersionVerifier;
   #isKnown = false;
+  #isOver = false;
+  #openedMs: number | undefined;
+  #cancelWait: () => void = () => undefined;
 
   constructor(options: AttemptOriginOptions) {
     this.#options = options;
+    this.#verifier = new VersionVerifier(options);
   }
 
   /** Called before the request is sent over a connection that was established at
@@ -35,23 +45,39 @@
    * stream is recorded under the id of this attempt too, as clients may name
    * it. */
   begin(openedMs: number): void {
-    const { request, view } = this.#options;
+    const { request, view, versions } = this.#options;
     if (!request.route.resumable) {
       this.#isKnown = true;
       return;
     }
-    const verifier = new VersionVerifier(this.#options);
-    if (verifier.accepts(openedMs)) {
+    this.#openedMs = openedMs;
+    if (this.#verifier.accepts(openedMs)) {
       this.#record();
-      return;
+    } else if (
+      view.onceConfirmed === undefined || versions.isMixed(request.service)
+    ) {
+      void this.#verifyAndRecord(openedMs);
+    } else {
+      // Nothing else is recorded in the store while there is one version.
+      this.#cancelWait = view.onceConfirmed(
+        openedMs,
+        () => void this.#verifyAndRecord(openedMs),
+      );
+    }
+  }
+
+  /** Called at the end of the attempt. A stream that was broken off after its first
+   * event may go on elsewhere, so where it began is found out first. */
+  async end(outcome: SendOutcome): Promise<void> {
+    this.#cancelWait();
+    if (outcome === "delivered") {
+      this.#isOver = true;
+    } else if (
+      this.#openedMs !== undefined &&
+      this.#options.request.version === this.#unknownVersion
+    ) {
+      await this.#verifyAndRecord(this.#openedMs);
     }
-    void verifier.verify(openedMs).then((isVerified) => {
-      // A store that cannot be read does not take entries of other endpoints
-      // either, so the last view is taken for granted.
-      if (isVerified || view.confirmedMs() <= openedMs) {
-        this.#record();
-      }
-    });
   }
 
   /** Pins the request to the version at which its stream begins. */
@@ -60,6 +86,16 @@
     request.version ??= this.#isKnown ? this.#version : this.#unknownVersion;
   }
 
+  async #verifyAndRecord(openedMs: number): Promise<void> {
+    const isVerified = await this.#verifier.verify(openedMs);
+    // A store that cannot be read does not take entries of other endpoints
+    // either, so the last view is taken for granted.
+    const isUnreadable = this.#options.view.confirmedMs() <= openedMs;
+    if (!this.#isOver && !this.#isKnown && (isVerified || isUnreadable)) {
+      this.#record();
+    }
+  }
+
   #record(): void {
     const { request, streamOrigins } = this.#options;
     const { account, requestId, service } = request;
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -183,6 +183,7 @@
       endpoint,
       this.#trackAttempt(request, attempt),
     );
+    await origin.end(result.outcome);
     this.#recordResult(request, endpoint, result);
     this.#options.observer.attemptEnded({
       request,
--- a/packages/relay/src/state_view.ts
+++ b/packages/relay/src/state_view.ts
@@ -7,6 +7,10 @@
    * after the monotonic time `afterMs`, to false if that cannot be had; the view
    * is confirmed only by itself if undefined. */
   confirm?: (afterMs: number) => Promise<boolean>;
+  /** Calls `fn` once the usual sources have confirmed the view after the monotonic
+   * time `afterMs`, which costs the store nothing; the function that it returns
+   * cancels that. The view is confirmed only on demand if undefined. */
+  onceConfirmed?: (afterMs: number, fn: () => void) => () => void;
 }
 
 /** The view of a node whose state does not come from elsewhere. */
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -109,12 +109,17 @@
   confirmView: (afterMs: number) => Promise<boolean> = () =>
     Promise.resolve(false);
 
+  /** What waits for the usual sources to confirm the node's view. */
+  readonly confirmationWaiters = new Set<() => void>();
+
   constructor(
-    { retryRatio = 1, retrySlack = 100, connector }: {
+    { retryRatio = 1, retrySlack = 100, connector, followsSources = false }: {
       retryRatio?: number;
       retrySlack?: number;
       /** Opens connections to endpoints. */
       connector?: EndpointConnector;
+      /** Whether the node can wait for usual sources to confirm its view. */
+      followsSources?: boolean;
     } = {},
   ) {
     const clock = new SystemClock();
@@ -136,6 +141,12 @@
       view: {
         confirmedMs: () => this.viewConfirmedMs,
         confirm: (afterMs) => this.confirmView(afterMs),
+        onceConfirmed: followsSources
+          ? (_afterMs, fn) => {
+            this.confirmationWaiters.add(fn);
+            return () => this.confirmationWaiters.delete(fn);
+          }
+          : undefined,
       },
       directConnector: connector,
       makePolicy: ({ endpointLoads }) =>
