fix(mirror): take no waiters after the close

Cause: a waiter added to closed ConfirmationWaiters was still served, and with no further update would have been waited for in a loop that never yields, as a request may begin while a node ends. Change: nothing is added once closed. Result: the test with a late waiter failed before: it was called back.

--- a/packages/mirror/src/confirmation_waiters.ts
+++ b/packages/mirror/src/confirmation_waiters.ts
@@ -19,8 +19,12 @@
   }
 
   /** Calls `fn` once the mirror holds a state from after the monotonic time
-   * `afterMs`; the function that it returns cancels that. */
+   * `afterMs`; the function that it returns cancels that. Has no effect once
+   * closed. */
   add(afterMs: number, fn: () => void): () => void {
+    if (this.#abortController.signal.aborted) {
+      return () => undefined;
+    }
     const waiter = { afterMs, fn };
     this.#waiters.add(waiter);
     if (!this.#isWaiting) {
--- a/packages/mirror/tests/confirmation_waiters_test.ts
+++ b/packages/mirror/tests/confirmation_waiters_test.ts
@@ -37,6 +37,7 @@
     waiters.add(10, () => calls.push("cancelled"))();
     waiters.add(10, () => calls.push("closed"));
     waiters.close();
+    waiters.add(10, () => calls.push("too late"));
     await confirm(20);
     expect(calls).to.deep.equal([]);
   });
