--- a/scripts/measure_nodes.js
+++ b/scripts/measure_nodes.js
@@ -56,10 +56,11 @@
   const startMs = performance.now();
   while (performance.now() - startMs < seconds * 1_000) {
     const { process: node, agent } = deployment.nodes[sent % nodes];
+    const kind = KINDS[Math.floor(sent / nodes) % KINDS.length];
     pending.push(
       sendRequest({
-        requestId: `r${sent}`,
-        kind: KINDS[Math.floor(sent / nodes) % KINDS.length],
+        requestId: `${kind}${sent}`,
+        kind,
         node: node.options.name,
         port: node.options.frontPort,
         agent,
