perf(relay): find the end of an event from the end of a chunk

Cause: each chunk of a stream was searched three times for each of three event ends, joined with the chunk before, and gone through with an iterator: 40 microseconds a chunk in a node that has just started, 7 later. Change: one search from the end, where the event of a usual chunk ends; the chunk before is joined only if the end may lie across both. The properties over all ways to split a stream hold; a new one compares the search with that for each event end.

--- a/packages/relay/src/sse_boundary_tracker.ts
+++ b/packages/relay/src/sse_boundary_tracker.ts
@@ -1,7 +1,5 @@
 import { Buffer } from "node:buffer";
 
-/** Line endings of server-sent events; two of a kind end an event. */
-const EVENT_ENDS = ["\n\n", "\r\n\r\n", "\r\r"] as const;
 /** Bytes kept to find an event end that is split between two chunks. */
 const TAIL_BYTES = 3;
 
@@ -9,14 +7,25 @@
 const CARRIAGE_RETURN = 0x0d;
 const COLON = 0x3a;
 
-/** Position after the last complete event in `data`; -1 if there is none. */
+/** Position after the last complete event in `data`; -1 if there is none. An event
+ * ends with two line endings of a kind. */
 export function lastEventEnd(data: Buffer): number {
-  return Math.max(
-    ...EVENT_ENDS.map((eventEnd) => {
-      const index = data.lastIndexOf(eventEnd, undefined, "latin1");
-      return index < 0 ? -1 : index + eventEnd.length;
-    }),
-  );
+  // From the end, where the event of a chunk ends that holds a whole one.
+  for (let index = data.length - 1; index > 0; index -= 1) {
+    const byte = data[index];
+    const previous = data[index - 1];
+    const isLineFeedEnd = byte === LINE_FEED &&
+      (previous === LINE_FEED ||
+        (previous === CARRIAGE_RETURN && data[index - 2] === LINE_FEED &&
+          data[index - 3] === CARRIAGE_RETURN));
+    if (
+      isLineFeedEnd ||
+      (byte === CARRIAGE_RETURN && previous === CARRIAGE_RETURN)
+    ) {
+      return index + 1;
+    }
+  }
+  return -1;
 }
 
 /** Follows a stream of server-sent events without buffering it. */
@@ -46,11 +55,11 @@
 
   /** Takes note of received bytes. */
   push(chunk: Buffer): void {
-    const seam = Buffer.concat([this.#tail, chunk.subarray(0, TAIL_BYTES)]);
-    const end = Math.max(
-      lastEventEnd(chunk),
-      lastEventEnd(seam) - this.#tail.length,
-    );
+    let end = lastEventEnd(chunk);
+    if (end <= TAIL_BYTES) {
+      const seam = Buffer.concat([this.#tail, chunk.subarray(0, TAIL_BYTES)]);
+      end = Math.max(end, lastEventEnd(seam) - this.#tail.length);
+    }
     if (end > 0) {
       this.#openEventBytes = chunk.length - end;
       this.#hasEvents = true;
@@ -65,7 +74,8 @@
 
   /** Unlike the search for event ends, takes lines with different endings. */
   #followLines(chunk: Buffer): void {
-    for (const byte of chunk) {
+    for (let index = 0; index < chunk.length; index += 1) {
+      const byte = chunk[index];
       const isRestOfLineEnd = byte === LINE_FEED &&
         this.#endedWithCarriageReturn;
       this.#endedWithCarriageReturn = byte === CARRIAGE_RETURN;
--- a/packages/relay/tests/sse_boundary_tracker_test.ts
+++ b/packages/relay/tests/sse_boundary_tracker_test.ts
@@ -24,6 +24,20 @@
   }
 });
 
+describe("lastEventEnd", () => {
+  it("finds the last two line endings of a kind", () => {
+    const text = fc.array(fc.constantFrom("a", ...LINE_ENDS))
+      .map((parts) => parts.join(""));
+    fc.assert(fc.property(text, (stream) => {
+      const ends = ["\n\n", "\r\n\r\n", "\r\r"].map((end) => {
+        const index = stream.lastIndexOf(end);
+        return index < 0 ? -1 : index + end.length;
+      });
+      expect(lastEventEnd(Buffer.from(stream))).to.equal(Math.max(...ends));
+    }));
+  });
+});
+
 describe("SseBoundaryTracker", () => {
   it("counts the bytes of the open event however the stream is split", () => {
     const text = fc.array(fc.constantFrom("ab", ...LINE_ENDS))
