fix(fleet_relay): leave the parent at once while the state is old

Cause: since a node stays with its parent unless it lags for 200 ms and four times the gathering. One that starts from the state of a node that does not reach the store would use keys and endpoints that are gone for so much longer. Change: a node whose state was not confirmed within the age at which it reads the store itself asks the most up-to-date node at once, as before.

--- a/packages/fleet_relay/src/state_replica.ts
+++ b/packages/fleet_relay/src/state_replica.ts
@@ -70,6 +70,7 @@
       mirror: this.mirror,
       seeds: settings.seeds,
       gatherMs: budget.gatherMs,
+      maxStateAgeMs: budget.maxStateAgeMs,
     });
     const { makePeerSource = makeHttpSource(clock) } = options;
     this.#peerSource = makePeerSource(() => this.sourceSelector.selectPeer());
--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -25,6 +25,9 @@
   seeds: readonly string[];
   /** For how long nodes gather changes at each hop, milliseconds. */
   gatherMs?: number;
+  /** Age of the state from which on this node does not stay with its parent,
+   * milliseconds. */
+  maxStateAgeMs?: number;
 }
 
 /** Lag behind other nodes beyond the time that changes are gathered for,
@@ -128,6 +131,15 @@
     return this.#isLagging();
   }
 
+  /** Whether this node's state may be old, as after a start from the state of a
+   * node that does not reach the store. */
+  #isStale(): boolean {
+    const { clock, mirror, maxStateAgeMs = Number.POSITIVE_INFINITY } =
+      this.#options;
+    return mirror.asOf === 0 ||
+      clock.monotonicMs() - mirror.confirmedMs > maxStateAgeMs;
+  }
+
   /** Whether this node is late to learn what its peers know. */
   #isLagging(): boolean {
     const { directory, mirror } = this.#options;
@@ -138,13 +150,13 @@
   }
 
   /** Address of the node to read changes from: one that is ahead if this node has
-   * no state or lags, else the parent in this zone, else a watcher, else any known node or seed. */
+   * no state, an old one or lags, else the parent in this zone, else a watcher, else any known node or seed. */
   selectPeer(): string | undefined {
     const { directory, mirror, rng } = this.#options;
     const mostUpToDate = directory.mostUpToDatePeer();
     if (
       mostUpToDate !== undefined && mostUpToDate.asOf > mirror.asOf &&
-      (mirror.asOf === 0 || this.#isLagging())
+      (this.#isStale() || this.#isLagging())
     ) {
       return mostUpToDate.callAddress;
     }
--- a/packages/fleet_relay/tests/state_source_selector_test.ts
+++ b/packages/fleet_relay/tests/state_source_selector_test.ts
@@ -7,6 +7,7 @@
 import { StateSourceSelector } from "../src/state_source_selector.ts";
 
 const PEERS = ["n1", "n2", "n3", "n4"];
+const MAX_STATE_AGE_MS = 800;
 
 function setUp(
   { zones = "aaaa", selfId = "n0", peers = PEERS }: {
@@ -33,6 +34,7 @@
     directory,
     mirror,
     seeds: ["n0:1", "n9:1"],
+    maxStateAgeMs: MAX_STATE_AGE_MS,
   });
   selector.setStoreFollower(follower as unknown as MirrorFollower);
   const announcePeers = (
@@ -122,6 +124,30 @@
     expect(PEERS.map((id) => `${id}:1`)).to.include(selector.selectPeer());
   });
 
+  it("stays with its parent while another node is a little ahead", () => {
+    const { directory, selector, announcePeers, setKnownRevision } = setUp();
+    setKnownRevision(5);
+    announcePeers(5);
+    const parent = selector.selectPeer();
+    const ahead = PEERS.find((id) => `${id}:1` !== parent)!;
+    directory.recordDatagram(ahead, { asOf: 9, storeConnectivity: "open" });
+    expect(selector.selectPeer()).to.equal(parent);
+  });
+
+  // A node that started from the state of one that did not reach the store used a
+  // key again that had been withdrawn.
+  it("leaves its parent at once for a node that is ahead of an old state", async () => {
+    const { clock, directory, selector, announcePeers, setKnownRevision } =
+      setUp();
+    setKnownRevision(5);
+    await clock.advance(MAX_STATE_AGE_MS + 1);
+    announcePeers(5);
+    const parent = selector.selectPeer();
+    const ahead = PEERS.find((id) => `${id}:1` !== parent)!;
+    directory.recordDatagram(ahead, { asOf: 9, storeConnectivity: "open" });
+    expect(selector.selectPeer()).to.equal(`${ahead}:1`);
+  });
+
   // A node whose first call failed counted the store as lost for 5 s, though the
   // store had answered since, and learnt late that an endpoint leaves.
   it("counts the store as lost only until it answers again", async () => {
