--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -150,7 +150,8 @@
   }
 
   /** Address of the node to read changes from: one that is ahead if this node has
-   * no state, an old one or lags, else the parent in this zone, else a watcher, else any known node or seed. */
+   * no state, an old one or lags; else the parent in this zone, else a watcher,
+   * else any known node or seed. */
   selectPeer(): string | undefined {
     const { directory, mirror, rng } = this.#options;
     const mostUpToDate = directory.mostUpToDatePeer();
