--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,123 +1,148 @@
-// The streams of one worker become an event without end. Requests of another
-// service at the same relays go on.
-import { fork } from "node:child_process";
+// Workers of two software versions fail part of their requests; then two of four
+// relays are killed, and clients take their streams up again at others.
 import { makeConfig, runCase, sleep } from "../support/deployment.mjs";
 
 const KEY = "key-1";
-/** As the kinds of request of the site. */
-const APP_TIMEOUT_MS = 800;
-const APP_DEADLINE_MS = 1_500;
-const STREAM_TIMEOUT_MS = 12_000;
-/** Time after the route's timeout by which there has to be an answer. */
-const MARGIN_MS = 500;
-const MIN_LATE = 8;
-const APP_INTERVAL_MS = 50;
-const STREAM_INTERVAL_MS = 400;
-const SOUND_MS = 4_000;
-const TROUBLE_MS = 8_000;
-
-const WORKER = new URL("../support/runaway_worker.mjs", import.meta.url);
-
-async function startRunawayWorker(deployment) {
-  const ip = deployment.ip(40);
-  const child = fork(WORKER, [ip, "i-runaway"]);
-  const port = await new Promise((resolve) =>
-    child.on("message", (message) => {
-      if (message.kind === "listening") {
-        resolve(message.port);
-      } else {
-        deployment.note(`run ${JSON.stringify(message)}`);
-      }
-    })
-  );
-  deployment.store.put("servers/i-runaway", {
-    service: "model",
-    address: `${ip}:${port}`,
-    zone: "a",
-    version: "v1",
-    slots: 64,
-    state: "ready",
-    cold_remaining_ms: 0,
-    sequence: 1,
-    born: Date.now(),
-  });
-  return child;
-}
+const PATH = "/letters/1";
+const EVENTS = 20;
+const EVENT_MS = 400;
+const TIME_BUDGET_MS = 12_000;
+const NEW_STREAMS_PER_S = 150;
+const MIN_WORK_MS = 40;
+const MAX_WORK_MS = 140;
+const FAILED_SHARE = 0.45;
+const FAIL_AT_MS = 5_000;
+const FAIL_FOR_MS = 4_000;
+const KILLED_RELAYS = 2;
+const ROUNDS = 5;
+const RETRIES = 3;
+const RETRY_DELAY_MS = 500;
+const MAX_JOINED = 2;
 
 await runCase(import.meta.url, async (deployment, { isTrouble }) => {
-  for (const index of [0, 1]) {
+  let isFailing = false;
+  for (const [index, version] of ["v1", "v2", "v1", "v2", "v1"].entries()) {
     await deployment.addWorker({
-      id: `i-model-${index}`,
+      id: `i-${index}`,
       service: "model",
-      events: 10,
-      eventMs: 50,
+      version,
+      slots: 1_000,
+      events: EVENTS,
+      eventMs: EVENT_MS,
+      workMs: () => MIN_WORK_MS + Math.random() * (MAX_WORK_MS - MIN_WORK_MS),
+      fails: () => isFailing && Math.random() < FAILED_SHARE,
     });
-    await deployment.addWorker({ id: `i-app-${index}`, service: "app" });
   }
-  const runaway = await startRunawayWorker(deployment);
   deployment.writeConfig(makeConfig({
     version: 1,
-    routes: [
-      {
-        prefix: "/letters/",
-        service: "model",
-        kind: "streaming",
-        resumable: true,
-        timeout_ms: STREAM_TIMEOUT_MS,
-        max_attempts: 2,
-      },
-      { prefix: "/orders/", service: "app", timeout_ms: APP_TIMEOUT_MS },
-    ],
-    services: ["model", "app"],
+    routes: [{
+      prefix: "/letters/",
+      service: "model",
+      kind: "streaming",
+      resumable: true,
+      timeout_ms: TIME_BUDGET_MS,
+      max_attempts: 2,
+    }],
+    services: ["model"],
     tenants: [{ name: "acme", api_keys: [KEY] }],
   }));
-  await deployment.startRelays(["a", "a"]);
+  await deployment.startRelays(["a", "a", "b", "b"]);
+  await sleep(3_000);
 
-  const attempts = [];
+  const streams = [];
+  const running = [];
   let isOver = false;
-  const sendEach = async (intervalMs, request) => {
-    while (!isOver) {
-      for (const relay of deployment.relays) {
-        attempts.push(deployment.send(relay, { key: KEY, ...request }));
+  let turn = 0;
+  const pickRelay = () => {
+    for (;;) {
+      turn += 1;
+      const relay = deployment.relays[turn % deployment.relays.length];
+      if (relay.isRunning) {
+        return relay;
       }
-      await sleep(intervalMs);
     }
   };
-  const sending = [
-    sendEach(APP_INTERVAL_MS, {
-      path: "/orders/1",
-      deadlineMs: APP_DEADLINE_MS,
-    }),
-    sendEach(STREAM_INTERVAL_MS, {
-      path: "/letters/1",
-      deadlineMs: STREAM_TIMEOUT_MS,
-      onData: () => undefined,
-    }),
-  ];
-  await sleep(SOUND_MS);
-  if (isTrouble) {
-    deployment.note("a worker's streams are without end from now on");
-    runaway.send("run away");
+  const starting = (async () => {
+    const startMs = deployment.nowMs;
+    let count = 0;
+    while (!isOver) {
+      const due = (deployment.nowMs - startMs) * NEW_STREAMS_PER_S / 1_000;
+      while (count < due) {
+        count += 1;
+        const stream = { versions: new Map(), lastEventId: 0, tries: 0 };
+        streams.push(stream);
+        running.push(runStream(deployment, stream, pickRelay));
+      }
+      await sleep(10);
+    }
+  })();
+  await sleep(FAIL_AT_MS - deployment.nowMs);
+  for (let round = 0; round < ROUNDS && isTrouble; round += 1) {
+    isFailing = true;
+    deployment.note("workers fail requests");
+    await sleep(FAIL_FOR_MS);
+    isFailing = false;
+    const killed = deployment.relays.slice(0, KILLED_RELAYS);
+    await Promise.all(killed.map((relay) => relay.kill()));
+    deployment.note(`${KILLED_RELAYS} relays are killed`);
+    await sleep(1_000);
+    killed.forEach((relay) => relay.start());
+    await deployment.waitUntilReady();
+    await sleep(3_500);
   }
-  await sleep(TROUBLE_MS);
-  runaway.send("sound");
   isOver = true;
-  await Promise.all(sending);
-  await Promise.all(attempts);
-  runaway.kill();
+  await starting;
+  await Promise.all(running);
 
-  const durations = deployment.attempts
-    .filter(({ path }) => path === "/orders/1")
-    .map(({ sentMs, endedMs }) => endedMs - sentMs);
-  const long = durations.filter((ms) => ms > APP_TIMEOUT_MS);
-  const late = long.filter((ms) => ms > APP_TIMEOUT_MS + MARGIN_MS);
-  const summary = `of ${durations.length} requests to the other service, ` +
-    `${long.length} were unanswered at their route's timeout and ` +
-    `${late.length} of these ${MARGIN_MS} ms later; the longest took ` +
-    `${Math.round(Math.max(...durations))} ms`;
+  const joined = streams.filter(({ versions }) =>
+    new Set(versions.values()).size > 1
+  );
+  const resumed = streams.filter(({ tries }) => tries > 1).length;
+  const summary = `${joined.length} of ${streams.length} streams (${resumed} ` +
+    `taken up again) hold events of two versions`;
   deployment.note(summary);
   console.log(summary);
-  return late.length >= MIN_LATE && late.length > long.length / 2
-    ? [summary]
+  return joined.length > MAX_JOINED
+    ? joined.map(({ firstRequestId, versions }) =>
+      `${firstRequestId}: ${JSON.stringify([...versions])}`
+    )
     : [];
 });
+
+/** Sends a client's request for a stream, and takes the stream up again where it
+ * breaks off. */
+async function runStream(deployment, stream, pickRelay) {
+  const startedMs = deployment.nowMs;
+  const leftMs = () => startedMs + TIME_BUDGET_MS - deployment.nowMs;
+  while (stream.tries <= RETRIES && leftMs() > RETRY_DELAY_MS) {
+    stream.tries += 1;
+    let buffer = "";
+    const attempt = await deployment.send(pickRelay(), {
+      path: PATH,
+      key: KEY,
+      deadlineMs: Math.floor(leftMs()),
+      headers: stream.firstRequestId === undefined ? {} : {
+        "last-event-id": String(stream.lastEventId),
+        resumes: stream.firstRequestId,
+      },
+      onData: ({ requestId, status }, chunk) => {
+        if (status !== 200) {
+          return;
+        }
+        buffer += chunk;
+        const events = buffer.split("\n\n");
+        buffer = events.pop();
+        for (const event of events) {
+          const [, id, version] = /^id: (\d+)\ndata: (\S+)/.exec(event);
+          stream.firstRequestId ??= requestId;
+          stream.lastEventId = Number(id);
+          stream.versions.set(stream.lastEventId, version);
+        }
+      },
+    });
+    if (attempt.isComplete && stream.lastEventId === EVENTS) {
+      return;
+    }
+    await sleep(RETRY_DELAY_MS);
+  }
+}
--- a/review/support/worker.mjs
+++ b/review/support/worker.mjs
@@ -23,6 +23,8 @@
       workMs: 20,
       events: 0,
       eventMs: 100,
+      /** Whether a request fails: its connection is reset. */
+      fails: () => false,
       ...options,
     };
     this.#server = http.createServer((req, res) => {
@@ -108,12 +110,19 @@
         "content-length": body.length,
       });
       res.end(body);
-    }, this.#options.workMs);
+    }, this.#nextWorkMs());
+  }
+
+  /** Time to the answer, or to the first event of a stream. */
+  #nextWorkMs() {
+    const { workMs } = this.#options;
+    return typeof workMs === "function" ? workMs() : workMs;
   }
 
   /** Sends the events of a stream after the one with the id `after`. */
   #stream(res, { requestId, signature, headers, after }) {
-    const { workMs, events, eventMs } = this.#options;
+    const { events, eventMs, fails } = this.#options;
+    const isFailing = fails();
     let next = after + 1;
     const writeNext = () => {
       if (res.destroyed) {
@@ -128,12 +137,16 @@
       setTimeout(writeNext, eventMs);
     };
     setTimeout(() => {
+      if (isFailing) {
+        res.socket?.resetAndDestroy();
+        return;
+      }
       res.writeHead(200, {
         ...headers,
         "limpetshed-response-signature": signature,
         "content-type": "text/event-stream",
       });
       writeNext();
-    }, workMs);
+    }, this.#nextWorkMs());
   }
 }
