--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -15,6 +15,8 @@
 
 const HEARTBEAT_MS = 1_200;
 const READY_TIMEOUT_MS = 20_000;
+const MAX_DURATION_MS = 115_000;
+const EXIT_CODE_NOT_RUN = 2;
 export const HOST = "shop.example";
 
 export function sleep(ms) {
@@ -280,21 +282,35 @@
     recordPath: new URL("record.txt", caseUrl).pathname,
   });
   const isTrouble = process.env.TROUBLE !== "0";
-  let code = 2;
+  let isEnding = false;
+  const end = async (code, lines) => {
+    if (!isEnding) {
+      isEnding = true;
+      lines.forEach((line) => deployment.note(line));
+      await deployment.close();
+      process.exit(code);
+    }
+  };
+  const fail = (reason) => {
+    console.log(`could not run: ${reason}`);
+    return end(EXIT_CODE_NOT_RUN, [`could not run: ${reason}`]);
+  };
+  process.on("uncaughtException", (err) => void fail(err.stack));
+  process.on("SIGTERM", () => void fail("stopped"));
+  process.on("SIGINT", () => void fail("stopped"));
+  setTimeout(() => void fail("too long"), MAX_DURATION_MS).unref();
   try {
     await deployment.startStore();
     const violations = await play(deployment, { isTrouble });
-    violations.forEach((line) => deployment.note(`VIOLATION ${line}`));
     const verdict = `${violations.length} violations` +
       (isTrouble ? "" : " without the disruption");
-    deployment.note(verdict);
     violations.slice(0, 5).forEach((line) => console.log(line));
     console.log(verdict);
-    code = violations.length > 0 ? 1 : 0;
+    await end(violations.length > 0 ? 1 : 0, [
+      ...violations.map((line) => `VIOLATION ${line}`),
+      verdict,
+    ]);
   } catch (err) {
-    deployment.note(`could not run: ${err.stack}`);
-    console.log(`could not run: ${err.stack}`);
+    await fail(err.stack);
   }
-  await deployment.close();
-  process.exit(code);
 }
--- a/review/support/relay.mjs
+++ b/review/support/relay.mjs
@@ -80,11 +80,13 @@
       stdio: ["ignore", log, log],
     });
     closeSync(log);
-    child.once("exit", () => {
+    const forget = () => {
       if (this.#child === child) {
         this.#child = undefined;
       }
-    });
+    };
+    child.once("error", forget);
+    child.once("exit", forget);
     this.#child = child;
   }
 
