--- a/packages/dispatch/src/deferred_removals.ts
+++ b/packages/dispatch/src/deferred_removals.ts
@@ -3,7 +3,7 @@
 
 /** Time for endpoints whose entries expired during an outage of the key-value
  * store to register again. */
-const REREGISTRATION_GRACE_MS = 2_000;
+export const REREGISTRATION_GRACE_MS = 2_000;
 
 /** Fraction of the drain time for which a removed endpoint stays a last resort;
  * less than 1, so that it is removed before it stops accepting requests. */
--- a/packages/dispatch/src/endpoint_entry.ts
+++ b/packages/dispatch/src/endpoint_entry.ts
@@ -15,6 +15,8 @@
   coldMs: number;
   /** Start time, to tell restarts apart; 0 if not published. */
   startedMs: number;
+  /** Number of the entry since that start; undefined if not published. */
+  sequence?: number;
   /** Version of the endpoint's software, not of its model's weights; undefined
    * if not published. */
   softwareVersion?: string;
--- a/packages/dispatch/src/endpoint_registry.ts
+++ b/packages/dispatch/src/endpoint_registry.ts
@@ -18,6 +18,9 @@
   isLastResort: boolean;
 }
 
+/** When an endpoint published an entry, compared with the one that is known. */
+export type EntryOrder = "earlier" | "later" | "unknown";
+
 /** Why an endpoint was removed. */
 export type RemovalReason = "gone" | "restarted";
 
@@ -100,6 +103,18 @@
     return endpoint;
   }
 
+  /** Compares an entry with the one known of its endpoint: a write that the store
+   * carries out late, or has restored, may be earlier. */
+  orderOf({ id, startedMs, sequence }: EndpointEntry): EntryOrder {
+    const known = this.#byId.get(id)?.entry;
+    if (known === undefined) {
+      return "unknown";
+    }
+    const order = startedMs - known.startedMs ||
+      (sequence ?? Number.NaN) - (known.sequence ?? Number.NaN);
+    return order < 0 ? "earlier" : order > 0 ? "later" : "unknown";
+  }
+
   /** Makes an endpoint whose entry was removed a last resort. `hasVanished` tells
    * whether that is a sign that it has ended. */
   demote(
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -40,7 +40,14 @@
   NamedLimit,
 } from "./endpoint_limits.ts";
 export type { ShareLoan, ShareNeed } from "./share_loans.ts";
-export { DeferredRemovals } from "./deferred_removals.ts";
+export {
+  type ApplyChangeOptions,
+  DeferredChanges,
+} from "./deferred_changes.ts";
+export {
+  DeferredRemovals,
+  REREGISTRATION_GRACE_MS,
+} from "./deferred_removals.ts";
 export type { EndpointEntry } from "./endpoint_entry.ts";
 export {
   EndpointPaths,
--- a/packages/dispatch/src/stream_origins.ts
+++ b/packages/dispatch/src/stream_origins.ts
@@ -63,6 +63,8 @@
   >;
   /** Streams that this node relayed and that are not in the store. */
   readonly #unstored: LRUCache<string, OwnStream>;
+  /** Those that are in the store. */
+  readonly #stored: LRUCache<string, OwnStream>;
   readonly #listeners: (() => void)[] = [];
 
   constructor(
@@ -71,6 +73,7 @@
     this.#clock = clock;
     this.#origins = new LRUCache(boundedEntries(maxStreams));
     this.#unstored = new LRUCache(boundedEntries(maxStreams));
+    this.#stored = new LRUCache(boundedEntries(maxStreams));
   }
 
   /** Registers a listener for streams of this node that begin from now on. */
@@ -94,13 +97,31 @@
   /** Records that a stream of this node is complete. */
   recordCompleted(key: string): void {
     this.#unstored.delete(key);
+    this.#stored.delete(key);
+  }
+
+  /** Has the streams of this node reported again: the store came back without its
+   * latest writes. */
+  forgetStored(): void {
+    for (const [key, { origin, beganMs }] of [...this.#stored.entries()]) {
+      this.#unstored.set(key, {
+        origin,
+        beganMs,
+        reportedMs: Number.NEGATIVE_INFINITY,
+      });
+    }
+    this.#stored.clear();
   }
 
   /** Records streams that are in the store. */
   recordStored({ service, version, streams }: StreamGroup): void {
     for (const key of streams) {
       this.#record(key, { service, version });
-      this.#unstored.delete(key);
+      const own = this.#unstored.get(key);
+      if (own !== undefined) {
+        this.#stored.set(key, own);
+        this.#unstored.delete(key);
+      }
     }
   }
 
--- a/packages/fleet/src/decode_update.ts
+++ b/packages/fleet/src/decode_update.ts
@@ -1,28 +1,43 @@
-import type { ChangeBatch, KeyChange, Snapshot } from "@limpetshed/mirror";
+import {
+  type ChangeBatch,
+  isEra,
+  type KeyChange,
+  type Snapshot,
+  type StorePosition,
+  UNNAMED_ERA,
+} from "@limpetshed/mirror";
 
 /** Changes by which the store cannot move ahead between two calls. */
 const MAX_REVISIONS_AHEAD = 1e9;
+/** Eras that cannot begin between two calls. */
+const MAX_ERAS_AHEAD = 1_000;
 
 /**
- * Validates a shared-state update received from another node, after revision
- * `after`. 0 stands for a node that knows no revision yet.
+ * Validates a shared-state update received from another node, after the position
+ * `after`. Revision 0 stands for a node that knows no position yet.
  *
  * @throws Error if the value is not a valid update.
  */
 export function decodeUpdate(
   value: unknown,
-  { after }: { after: number },
+  { after }: { after: StorePosition },
 ): ChangeBatch | Snapshot {
-  const { kind, asOf, changes, entries } = asRecord(value);
+  const { kind, era = UNNAMED_ERA, asOf, changes, entries } = asRecord(value);
+  if (!isEra(era)) {
+    throw invalidUpdateError("era is not a natural number");
+  }
   if (!isRevision(asOf)) {
     throw invalidUpdateError("asOf is not a positive integer");
   }
-  const update = decodeBody({ kind, asOf, changes, entries });
+  const update = { ...decodeBody({ kind, asOf, changes, entries }), era };
   const revisions =
     (update.kind === "changes" ? update.changes : update.entries)
       .map(({ revision }) => revision);
   const newest = revisions.reduce((a, b) => Math.max(a, b), asOf);
-  if (after > 0 && newest > after + MAX_REVISIONS_AHEAD) {
+  const isTooFarAhead = era === after.era
+    ? newest > after.revision + MAX_REVISIONS_AHEAD
+    : era > after.era + MAX_ERAS_AHEAD;
+  if (after.revision > 0 && isTooFarAhead) {
     throw invalidUpdateError("it is further ahead than the store can be");
   }
   return update;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -17,6 +17,7 @@
   type LoadMessage,
 } from "./load_message.ts";
 export {
+  type Lease,
   NodeRegistration,
   type NodeRegistrationOptions,
   type RegistrationStore,
@@ -31,7 +32,7 @@
   PeerDirectory,
 } from "./peer_directory.ts";
 export { PeerClient } from "./peer_client.ts";
-export { PeerServer, PLACEMENTS_PATH } from "./peer_server.ts";
+export { CONFIG_PATH, PeerServer, PLACEMENTS_PATH } from "./peer_server.ts";
 export {
   StreamLog,
   type StreamLogOptions,
--- a/packages/fleet/src/load_exchange.ts
+++ b/packages/fleet/src/load_exchange.ts
@@ -7,6 +7,7 @@
   type RepeatingTask,
   splitHostPort,
 } from "@limpetshed/base";
+import type { StorePosition } from "@limpetshed/mirror";
 import type { Logger } from "@limpetshed/observe";
 import {
   decodeLimitMessage,
@@ -64,8 +65,8 @@
   directory: PeerDirectory;
   /** This node's in-flight requests, by endpoint key. */
   localInFlight: () => ReadonlyMap<string, number>;
-  /** Revision of the shared state known to this node. */
-  asOf: () => number;
+  /** Position of the shared state known to this node. */
+  position: () => StorePosition;
   /** This node's connectivity to the store. */
   storeConnectivity: () => StoreConnectivity;
   /** Returns the prompt parts that this node sent to endpoints since the last
@@ -179,7 +180,7 @@
   }
 
   #broadcast(): void {
-    const { nodeId, incarnation, localInFlight, asOf, directory } =
+    const { nodeId, incarnation, localInFlight, position, directory } =
       this.#options;
     const { takePlacements, takeCrashReports, repeatedCrashReports } =
       this.#options;
@@ -198,7 +199,7 @@
       nodeId,
       incarnation,
       round: this.#round,
-      asOf: asOf(),
+      position: position(),
       storeConnectivity: this.#options.storeConnectivity(),
       inFlightByEndpoint: localInFlight(),
       placements: this.#recentEvents.flatMap(({ placements }) => placements),
--- a/packages/fleet/src/load_message.ts
+++ b/packages/fleet/src/load_message.ts
@@ -1,4 +1,5 @@
 import { Buffer } from "node:buffer";
+import { isEra, type StorePosition, UNNAMED_ERA } from "@limpetshed/mirror";
 import type { StoreConnectivity } from "./choose_watchers.ts";
 
 /** Load report that a node broadcasts to its peers. */
@@ -8,8 +9,8 @@
   incarnation: string;
   /** Broadcast round; increases within an incarnation. */
   round: number;
-  /** Revision of the shared state known to the node. */
-  asOf: number;
+  /** Position of the shared state known to the node. */
+  position: StorePosition;
   storeConnectivity: StoreConnectivity;
   /** The node's in-flight requests, by endpoint key. */
   inFlightByEndpoint: ReadonlyMap<string, number>;
@@ -30,6 +31,9 @@
 /** More than any node has in flight at one endpoint. */
 const MAX_IN_FLIGHT = 1_000_000;
 
+/** Separates the incarnation from the era. */
+const ERA_MARK = "@";
+
 /** Pair lists in a datagram: in-flight counts, placements, crash reports. */
 const LISTS_PER_DATAGRAM = 3;
 
@@ -37,9 +41,11 @@
  * and second values. */
 type EncodedMessage = [
   nodeId: string,
+  /** Followed by the era, if the store names one: nodes of earlier releases reject
+   * messages with a further element. */
   incarnation: string,
   round: number,
-  asOf: number,
+  revision: number,
   storeConnectivity: StoreConnectivity,
   inFlight: (string | number)[],
   placements: string[],
@@ -54,7 +60,8 @@
 
 /** Encodes a message, as several datagrams if it exceeds the size limit. */
 export function encodeLoadMessage(message: LoadMessage): Buffer[] {
-  const { nodeId, incarnation, round, asOf, storeConnectivity } = message;
+  const { nodeId, round, position, storeConnectivity } = message;
+  const incarnation = encodeIncarnation(message);
   const { inFlightByEndpoint, placements, crashReports } = message;
   const inFlightChunks = chunkPairs([...inFlightByEndpoint].flat());
   const placementChunks = chunkPairs(placements);
@@ -70,7 +77,7 @@
       nodeId,
       incarnation,
       round,
-      asOf,
+      position.revision,
       storeConnectivity,
       inFlightChunks[index] ?? [],
       placementChunks[index] ?? [],
@@ -117,14 +124,15 @@
   }
   const [
     nodeId,
-    incarnation,
+    startAndEra,
     round,
-    asOf,
+    revision,
     storeConnectivity,
     inFlight,
     placements,
     crashReports,
   ] = decoded;
+  const { incarnation, era } = decodeIncarnation(startAndEra);
   const inFlightByEndpoint = new Map<string, number>();
   for (let index = 0; index + 1 < inFlight.length; index += 2) {
     const count = Number(inFlight[index + 1]) || 0;
@@ -137,7 +145,7 @@
     nodeId,
     incarnation,
     round,
-    asOf,
+    position: { era, revision },
     storeConnectivity,
     inFlightByEndpoint,
     placements,
@@ -145,6 +153,20 @@
   };
 }
 
+function encodeIncarnation(
+  { incarnation, position: { era } }: LoadMessage,
+): string {
+  return era === UNNAMED_ERA ? incarnation : `${incarnation}${ERA_MARK}${era}`;
+}
+
+function decodeIncarnation(text: string): { incarnation: string; era: number } {
+  const markIndex = text.lastIndexOf(ERA_MARK);
+  const era = Number(text.slice(markIndex + 1));
+  return markIndex >= 0 && isEra(era)
+    ? { incarnation: text.slice(0, markIndex), era }
+    : { incarnation: text, era: UNNAMED_ERA };
+}
+
 function isEncodedMessage(value: unknown): value is EncodedMessage {
   return Array.isArray(value) && value.length === 8 &&
     typeof value[0] === "string" && typeof value[1] === "string" &&
--- a/packages/fleet/src/node_registration.ts
+++ b/packages/fleet/src/node_registration.ts
@@ -6,16 +6,25 @@
 } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
 
+/** A lease of the store. */
+export interface Lease {
+  /** Unique within an era only. */
+  id: number;
+  /** Era of the store that granted it. */
+  era: number;
+}
+
 /** Store operations needed to register a node. */
 export interface RegistrationStore {
-  /** Grants a lease; resolves to its id. */
-  grantLease(ttlMs: number, options: { signal: AbortSignal }): Promise<number>;
-  /** Renews a lease; false if it has expired. */
-  renewLease(lease: number, options: { signal: AbortSignal }): Promise<boolean>;
-  /** Writes a key attached to a lease; false if the lease has expired. */
+  /** Grants a lease. */
+  grantLease(ttlMs: number, options: { signal: AbortSignal }): Promise<Lease>;
+  /** Renews a lease; false if it has expired, or ended with its era. */
+  renewLease(lease: Lease, options: { signal: AbortSignal }): Promise<boolean>;
+  /** Writes a key attached to a lease; false if the lease has expired, or ended
+   * with its era. */
   put(
     key: string,
-    options: { value: string; lease: number; signal: AbortSignal },
+    options: { value: string; lease: Lease; signal: AbortSignal },
   ): Promise<boolean>;
 }
 
@@ -26,6 +35,10 @@
   store: RegistrationStore;
   key: string;
   value: string;
+  /** Latest era of the store that this node knows of. */
+  era: () => number;
+  /** Returns a number in `[0, 1)`. */
+  random: () => number;
 }
 
 /** Longer than a restart and most outages of the store. A stale entry is cheap:
@@ -35,13 +48,17 @@
 const RENEW_INTERVAL_MS = 10_000;
 /** Interval of the renewal loop, and so the retry delay after a failed call. */
 const RETRY_INTERVAL_MS = 700;
+/** Time over which the nodes of a fleet register in a new era, milliseconds. */
+const NEW_ERA_SPREAD_MS = 700;
 
 /** Registers this node in the store under a lease that it keeps renewing. */
 export class NodeRegistration {
   readonly #options: NodeRegistrationOptions;
   readonly #abortController = new AbortController();
   readonly #renewalLoop: RepeatingTask;
-  #leaseId: number | undefined;
+  #lease: Lease | undefined;
+  /** Monotonic time before which this node does not register in a new era. */
+  #newEraFromMs: number | undefined;
   #lastRenewalMs = Number.NEGATIVE_INFINITY;
   #consecutiveFailures = 0;
 
@@ -83,21 +100,43 @@
   async #registerOrRenew(): Promise<void> {
     const { clock, store, logger, key, value } = this.#options;
     const { signal } = this.#abortController;
-    if (clock.monotonicMs() - this.#lastRenewalMs < RENEW_INTERVAL_MS) {
+    if (this.#lease !== undefined && this.#lease.era < this.#options.era()) {
+      if (this.#isTooEarlyInNewEra()) {
+        return;
+      }
+      this.#lease = undefined;
+    } else if (clock.monotonicMs() - this.#lastRenewalMs < RENEW_INTERVAL_MS) {
       return;
     }
-    if (this.#leaseId !== undefined) {
-      if (await store.renewLease(this.#leaseId, { signal })) {
+    if (this.#lease !== undefined) {
+      if (await store.renewLease(this.#lease, { signal })) {
         this.#recordRenewal();
         return;
       }
-      this.#leaseId = undefined;
+      this.#lease = undefined;
     }
+    // A registration that fails is repeated at once, not when the lease that it
+    // replaces would have been renewed.
+    this.#lastRenewalMs = Number.NEGATIVE_INFINITY;
     const lease = await store.grantLease(LEASE_TTL_MS, { signal });
     if (await store.put(key, { value, lease, signal })) {
-      this.#leaseId = lease;
+      this.#lease = lease;
+      this.#newEraFromMs = undefined;
       this.#recordRenewal();
-      logger.info({ event: "registration", outcome: "entered", entry: key });
+      logger.info({
+        event: "registration",
+        outcome: "entered",
+        entry: key,
+        era: lease.era,
+      });
     }
   }
+
+  /** Spreads the registrations of all nodes over time. */
+  #isTooEarlyInNewEra(): boolean {
+    const { clock, random } = this.#options;
+    const now = clock.monotonicMs();
+    this.#newEraFromMs ??= now + NEW_ERA_SPREAD_MS * random();
+    return now < this.#newEraFromMs;
+  }
 }
--- a/packages/fleet/src/peer_change_source.ts
+++ b/packages/fleet/src/peer_change_source.ts
@@ -2,7 +2,9 @@
 import {
   type ChangeBatch,
   ChangeSource,
+  NO_POSITION,
   type Snapshot,
+  type StorePosition,
 } from "@limpetshed/mirror";
 import { decodeUpdate } from "./decode_update.ts";
 import { PeerClient } from "./peer_client.ts";
@@ -42,20 +44,20 @@
   }
 
   readAll(options: { signal: AbortSignal }): Promise<Snapshot | ChangeBatch> {
-    return this.waitForChanges(0, options);
+    return this.waitForChanges(NO_POSITION, options);
   }
 
   /** Reads only the changes: a peer retains them while this node cannot reach
    * it, or returns a snapshot if it no longer has them. */
   override resume(
-    revision: number,
+    after: StorePosition,
     options: { signal: AbortSignal },
   ): Promise<Snapshot | ChangeBatch> {
-    return this.waitForChanges(revision, options);
+    return this.waitForChanges(after, options);
   }
 
   async waitForChanges(
-    revision: number,
+    after: StorePosition,
     { signal }: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot> {
     const address = this.#selectPeer();
@@ -63,13 +65,13 @@
       throw new Error("no peer is known");
     }
     this.#address = address;
-    const path = `${CHANGES_PATH}?after=${revision}`;
+    const path = `${CHANGES_PATH}?after=${after.revision}&era=${after.era}`;
     const { value, headers, headMs } = await this.#client.getJson(address, {
       path,
       signal,
     });
     return {
-      ...decodeUpdate(value, { after: revision }),
+      ...decodeUpdate(value, { after }),
       ageMs: decodeAge(headers[STATE_AGE_HEADER]) +
         this.#clock.monotonicMs() - headMs,
       sender: address,
--- a/packages/fleet/src/peer_directory.ts
+++ b/packages/fleet/src/peer_directory.ts
@@ -1,4 +1,9 @@
 import { type Clock, splitHostPort } from "@limpetshed/base";
+import {
+  comparePositions,
+  NO_POSITION,
+  type StorePosition,
+} from "@limpetshed/mirror";
 import { ROUND_INTERVAL_MS, roundsToReachAll } from "./broadcast_schedule.ts";
 import type { StoreConnectivity } from "./choose_watchers.ts";
 
@@ -16,8 +21,8 @@
 export interface Peer extends PeerAddress {
   /** Monotonic time of its last datagram; negative infinity if none. */
   lastSeenMs: number;
-  /** Shared-state revision that it has reported last. */
-  asOf: number;
+  /** Position of its shared state, as last reported. */
+  position: StorePosition;
   /** Its connectivity to the store, as last reported. */
   storeConnectivity: StoreConnectivity;
 }
@@ -48,7 +53,7 @@
       const existing = this.#peers.get(address.id);
       this.#peers.set(address.id, {
         lastSeenMs: Number.NEGATIVE_INFINITY,
-        asOf: 0,
+        position: NO_POSITION,
         storeConnectivity: "unknown",
         ...existing,
         ...address,
@@ -66,15 +71,15 @@
   /** Records a datagram received from a node; ignores unregistered nodes. */
   recordDatagram(
     id: string,
-    { asOf, storeConnectivity }: {
-      asOf: number;
+    { position, storeConnectivity }: {
+      position: StorePosition;
       storeConnectivity: StoreConnectivity;
     },
   ): void {
     const peer = this.#peers.get(id);
     if (peer !== undefined) {
       peer.lastSeenMs = this.#clock.monotonicMs();
-      peer.asOf = asOf;
+      peer.position = position;
       peer.storeConnectivity = storeConnectivity;
     }
   }
@@ -124,12 +129,15 @@
     return this.peers().filter(({ lastSeenMs }) => lastSeenMs >= oldestLiveMs);
   }
 
-  /** The live peer that reported the highest shared-state revision. */
+  /** The live peer that reported the latest position of shared state. */
   mostUpToDatePeer(): Peer | undefined {
     return this.livePeers()
       .reduce<Peer | undefined>(
         (best, peer) =>
-          best === undefined || peer.asOf > best.asOf ? peer : best,
+          best === undefined ||
+            comparePositions(peer.position, best.position) > 0
+            ? peer
+            : best,
         undefined,
       );
   }
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -1,5 +1,10 @@
 import { type Clock, HttpService } from "@limpetshed/base";
-import type { KeyMirror } from "@limpetshed/mirror";
+import {
+  comparePositions,
+  isEra,
+  type KeyMirror,
+  type StorePosition,
+} from "@limpetshed/mirror";
 import {
   createApp,
   createError,
@@ -29,9 +34,12 @@
 /** HTTP path of placements. */
 export const PLACEMENTS_PATH = "/placements";
 
+/** HTTP path of the newest configuration that a node knows. */
+export const CONFIG_PATH = "/config";
+
 /** Serves shared state and placements to nodes that are behind or starting. */
 export class PeerServer extends HttpService {
-  constructor({ clock, mirror, placements, tunnels }: {
+  constructor({ clock, mirror, placements, configNewerThan, tunnels }: {
     clock: Clock;
     mirror: KeyMirror;
     /** Takes tunnels of other nodes; none are taken if undefined. */
@@ -39,17 +47,20 @@
     /** Returns alternating ids of prompt parts and keys of endpoints that have
      * them cached. */
     placements: () => readonly string[];
+    /** Returns the newest configuration, as it is stored, if it is newer than a
+     * version. */
+    configNewerThan?: (version: number) => { text: string } | undefined;
   }) {
     const encoder = new UpdateEncoder({ mirror });
     const router = createRouter();
     router.get(
       CHANGES_PATH,
       defineEventHandler(async (event) => {
-        const after = Number(getQuery(event).after ?? 0);
-        if (!Number.isSafeInteger(after) || after < 0) {
+        const after = parsePosition(getQuery(event), mirror);
+        if (after === undefined) {
           throw createError({ statusCode: 400 });
         }
-        if (mirror.asOf <= after) {
+        if (comparePositions(mirror.position, after) <= 0) {
           await waitForUpdate(mirror, clock);
         }
         // This node has not read any state yet.
@@ -72,6 +83,13 @@
       }),
     );
     router.get(PLACEMENTS_PATH, defineEventHandler(() => placements()));
+    router.get(
+      CONFIG_PATH,
+      defineEventHandler((event) => {
+        const version = Number(getQuery(event).after ?? 0);
+        return configNewerThan?.(version) ?? {};
+      }),
+    );
     const app = createApp();
     app.use(router);
     super(toNodeListener(app));
@@ -83,6 +101,22 @@
   }
 }
 
+/** Returns the position in a query; undefined if it is not valid. Nodes of earlier
+ * releases name no era and compare revisions only. */
+function parsePosition(
+  { after = 0, era }: Record<string, unknown>,
+  mirror: KeyMirror,
+): StorePosition | undefined {
+  const position = {
+    era: era === undefined ? mirror.era : Number(era),
+    revision: Number(after),
+  };
+  return isEra(position.era) && Number.isSafeInteger(position.revision) &&
+      position.revision >= 0
+    ? position
+    : undefined;
+}
+
 /** Waits for an update, at most for the long-poll timeout. */
 async function waitForUpdate(mirror: KeyMirror, clock: Clock): Promise<void> {
   const timeout = new AbortController();
--- a/packages/fleet/src/stream_log.ts
+++ b/packages/fleet/src/stream_log.ts
@@ -5,7 +5,7 @@
   type RepeatingTask,
 } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
-import type { RegistrationStore } from "./node_registration.ts";
+import type { Lease, RegistrationStore } from "./node_registration.ts";
 import type { StreamGroupEntry } from "./stream_message.ts";
 
 /** A software version of a service. */
@@ -26,6 +26,8 @@
   markKey: (mark: VersionMark) => string;
   /** The versions that this node has to keep marks of. */
   marks: () => readonly VersionMark[];
+  /** Latest era of the store that this node knows of. */
+  era: () => number;
 }
 
 /** Interval between writes; streams begun within it are lost if all nodes are
@@ -57,8 +59,8 @@
   #pending = new Map<string, StreamGroupEntry>();
   #pendingStreams = 0;
   #batchCount = 0;
-  #batchLease: { id: number; grantedMs: number } | undefined;
-  readonly #markLeases = new Map<string, { id: number; renewedMs: number }>();
+  #batchLease: { lease: Lease; grantedMs: number } | undefined;
+  readonly #markLeases = new Map<string, { lease: Lease; renewedMs: number }>();
   #retryAtMs = 0;
   #isFailing = false;
 
@@ -122,19 +124,19 @@
     }
   }
 
-  async #currentBatchLease(): Promise<number> {
-    const { clock, store } = this.#options;
+  async #currentBatchLease(): Promise<Lease> {
+    const { clock, store, era } = this.#options;
     const now = clock.monotonicMs();
     if (
-      this.#batchLease === undefined ||
+      this.#batchLease === undefined || this.#batchLease.lease.era < era() ||
       now - this.#batchLease.grantedMs >= BATCH_LEASE_PERIOD_MS
     ) {
-      const id = await store.grantLease(BATCH_LEASE_TTL_MS, {
+      const lease = await store.grantLease(BATCH_LEASE_TTL_MS, {
         signal: this.#abortController.signal,
       });
-      this.#batchLease = { id, grantedMs: now };
+      this.#batchLease = { lease, grantedMs: now };
     }
-    return this.#batchLease.id;
+    return this.#batchLease.lease;
   }
 
   async #keepMarks(): Promise<void> {
@@ -151,24 +153,24 @@
   }
 
   async #keepMark(key: string, mark: VersionMark): Promise<void> {
-    const { clock, store } = this.#options;
+    const { clock, store, era } = this.#options;
     const { signal } = this.#abortController;
     const now = clock.monotonicMs();
     const known = this.#markLeases.get(key);
-    if (known !== undefined) {
+    if (known !== undefined && known.lease.era >= era()) {
       if (now - known.renewedMs < MARK_RENEW_INTERVAL_MS) {
         return;
       }
-      if (await store.renewLease(known.id, { signal })) {
+      if (await store.renewLease(known.lease, { signal })) {
         known.renewedMs = now;
         return;
       }
-      this.#markLeases.delete(key);
     }
-    const id = await store.grantLease(MARK_LEASE_TTL_MS, { signal });
+    this.#markLeases.delete(key);
+    const lease = await store.grantLease(MARK_LEASE_TTL_MS, { signal });
     const value = JSON.stringify(mark);
-    if (await store.put(key, { value, lease: id, signal })) {
-      this.#markLeases.set(key, { id, renewedMs: now });
+    if (await store.put(key, { value, lease, signal })) {
+      this.#markLeases.set(key, { lease, renewedMs: now });
     }
   }
 
--- a/packages/fleet/src/update_encoder.ts
+++ b/packages/fleet/src/update_encoder.ts
@@ -1,6 +1,10 @@
 import { Buffer } from "node:buffer";
 import { constants, gzipSync } from "node:zlib";
-import type { KeyMirror } from "@limpetshed/mirror";
+import {
+  comparePositions,
+  type KeyMirror,
+  type StorePosition,
+} from "@limpetshed/mirror";
 
 /** Encoded update in JSON. */
 export interface EncodedUpdate {
@@ -19,17 +23,22 @@
  */
 export class UpdateEncoder {
   readonly #mirror: KeyMirror;
-  #latest: { after: number; asOf: number; update: EncodedUpdate } | undefined;
+  #latest:
+    | { after: StorePosition; position: StorePosition; update: EncodedUpdate }
+    | undefined;
 
   constructor({ mirror }: { mirror: KeyMirror }) {
     this.#mirror = mirror;
   }
 
-  /** Encodes the changes after a revision, or a snapshot. */
-  encodeChangesAfter(after: number): EncodedUpdate {
-    const { asOf } = this.#mirror;
+  /** Encodes the changes after a position, or a snapshot. */
+  encodeChangesAfter(after: StorePosition): EncodedUpdate {
+    const { position } = this.#mirror;
     const latest = this.#latest;
-    if (latest?.after === after && latest.asOf === asOf) {
+    if (
+      latest !== undefined && comparePositions(latest.after, after) === 0 &&
+      comparePositions(latest.position, position) === 0
+    ) {
       return latest.update;
     }
     const identity = Buffer.from(
@@ -39,7 +48,7 @@
       ? undefined
       : gzipSync(identity, { level: constants.Z_BEST_SPEED });
     const update = { identity, gzip };
-    this.#latest = { after, asOf, update };
+    this.#latest = { after, position, update };
     return update;
   }
 }
--- a/packages/fleet/tests/load_message_test.ts
+++ b/packages/fleet/tests/load_message_test.ts
@@ -13,7 +13,7 @@
     nodeId: "n1",
     incarnation: "abc",
     round: 7,
-    asOf: 41,
+    position: { era: 0, revision: 41 },
     storeConnectivity: "open",
     inFlightByEndpoint: new Map(),
     placements: [],
@@ -23,6 +23,13 @@
 }
 
 describe("load messages", () => {
+  it("tell the era of the store in a form that earlier releases accept", () => {
+    const sent = message({ position: { era: 3, revision: 41 } });
+    const [datagram] = encodeLoadMessage(sent);
+    expect(JSON.parse(String(datagram))).to.have.length(8);
+    expect(decodeLoadMessage(datagram!)).to.deep.equal(sent);
+  });
+
   it("survive an encoding round trip", () => {
     const sent = message({
       inFlightByEndpoint: new Map([["e1/2", 3]]),
--- a/packages/fleet/tests/node_registration_test.ts
+++ b/packages/fleet/tests/node_registration_test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
 import {
+  type Lease,
   NodeRegistration,
   type RegistrationStore,
 } from "../src/node_registration.ts";
@@ -11,27 +12,28 @@
  * `lastLeaseId` expires it. */
 class FakeStore implements RegistrationStore {
   isDown = false;
+  era = 0;
   /** Id of the last granted lease. */
   lastLeaseId = 0;
   /** Lease id of each write, in order. */
   writeLeaseIds: number[] = [];
 
-  grantLease(): Promise<number> {
+  grantLease(): Promise<Lease> {
     if (this.isDown) {
       return Promise.reject(new Error("store unreachable"));
     }
     this.lastLeaseId += 1;
-    return Promise.resolve(this.lastLeaseId);
+    return Promise.resolve({ id: this.lastLeaseId, era: this.era });
   }
 
-  renewLease(lease: number): Promise<boolean> {
+  renewLease({ id }: Lease): Promise<boolean> {
     return this.isDown
       ? Promise.reject(new Error("store unreachable"))
-      : Promise.resolve(lease === this.lastLeaseId);
+      : Promise.resolve(id === this.lastLeaseId);
   }
 
-  put(_key: string, { lease }: { lease: number }): Promise<boolean> {
-    this.writeLeaseIds.push(lease);
+  put(_key: string, { lease }: { lease: Lease }): Promise<boolean> {
+    this.writeLeaseIds.push(lease.id);
     return Promise.resolve(true);
   }
 }
@@ -53,6 +55,8 @@
       store,
       key: "nodes/n1",
       value: "{}",
+      era: () => store.era,
+      random: () => 0.5,
     });
     const outcomes = () =>
       lines.map((line) => (JSON.parse(line) as { outcome: string }).outcome);
@@ -79,4 +83,14 @@
     await clock.advance(11_000);
     expect(store.writeLeaseIds).to.deep.equal([1, 3]);
   });
+
+  it("registers with a new lease when a later era begins", async () => {
+    const store = new FakeStore();
+    const { clock, outcomes } = startRegistration(store);
+    await clock.advance(1_000);
+    store.era = 1;
+    await clock.advance(2_000);
+    expect(store.writeLeaseIds).to.deep.equal([1, 2]);
+    expect(outcomes()).to.deep.equal(["entered", "entered"]);
+  });
 });
--- a/packages/fleet/tests/odd_messages_test.ts
+++ b/packages/fleet/tests/odd_messages_test.ts
@@ -88,28 +88,32 @@
     });
     const storeConnectivity = "open";
     directory.recordDatagram("n1", {
-      asOf: Number.MAX_SAFE_INTEGER,
+      position: { era: 0, revision: Number.MAX_SAFE_INTEGER },
       storeConnectivity,
     });
-    directory.recordDatagram("n1", { asOf: 5, storeConnectivity });
-    expect(directory.mostUpToDatePeer()?.asOf).to.equal(5);
+    directory.recordDatagram("n1", {
+      position: { era: 0, revision: 5 },
+      storeConnectivity,
+    });
+    expect(directory.mostUpToDatePeer()?.position.revision).to.equal(5);
   });
 
   // A response far ahead of the store made a node ignore all that came later.
   it("are rejected if they are further ahead than the store can be", () => {
+    const after = { era: 0, revision: 50 };
     const update = (asOf: number, revision = asOf) => ({
       kind: "changes",
       asOf,
       changes: [{ key: "a", value: "1", revision }],
     });
-    expect(decodeUpdate(update(60), { after: 50 }).asOf).to.equal(60);
+    expect(decodeUpdate(update(60), { after }).asOf).to.equal(60);
     for (
       const odd of [
         update(Number.MAX_SAFE_INTEGER),
         update(60, Number.MAX_SAFE_INTEGER),
       ]
     ) {
-      expect(() => decodeUpdate(odd, { after: 50 })).to.throw("ahead");
+      expect(() => decodeUpdate(odd, { after })).to.throw("ahead");
     }
   });
 });
--- a/packages/fleet/tests/peer_change_source_test.ts
+++ b/packages/fleet/tests/peer_change_source_test.ts
@@ -5,7 +5,7 @@
   SystemClock,
   type Timer,
 } from "@limpetshed/base";
-import { KeyMirror } from "@limpetshed/mirror";
+import { KeyMirror, NO_POSITION } from "@limpetshed/mirror";
 import { expect } from "chai";
 import fc from "fast-check";
 import { afterEach, describe, it } from "mocha";
@@ -69,7 +69,9 @@
   it("reuse the connection", async () => {
     const { peer, source } = await connect((res) => res.end(EMPTY_BATCH));
     for (let index = 0; index < 3; index += 1) {
-      expect((await source.waitForChanges(4, { signal })).asOf).to.equal(5);
+      expect(
+        (await source.waitForChanges({ era: 0, revision: 4 }, { signal })).asOf,
+      ).to.equal(5);
     }
     expect(peer.connections).to.equal(1);
   });
@@ -84,16 +86,22 @@
         res.end(EMPTY_BATCH);
       }
     });
-    const first = await source.waitForChanges(4, { signal }).catch((
+    const first = await source.waitForChanges({ era: 0, revision: 4 }, {
+      signal,
+    }).catch((
       err: Error,
     ) => err);
     expect(first).to.be.instanceOf(Error);
-    expect((await source.waitForChanges(4, { signal })).asOf).to.equal(5);
+    expect(
+      (await source.waitForChanges({ era: 0, revision: 4 }, { signal })).asOf,
+    ).to.equal(5);
   });
 
   it("reject a response that is not an update", async () => {
     const { source } = await connect((res) => res.end('{"asOf":9}'));
-    const error = await source.waitForChanges(4, { signal }).catch((
+    const error = await source.waitForChanges({ era: 0, revision: 4 }, {
+      signal,
+    }).catch((
       err: Error,
     ) => err);
     expect((error as Error).message).to.contain(
@@ -111,7 +119,10 @@
     const address = await server.listen("127.0.0.1:0");
     const source = new PeerChangeSource({ clock, selectPeer: () => address });
     openResources.push(server, source);
-    const { ageMs, sender } = await source.waitForChanges(2, { signal });
+    const { ageMs, sender } = await source.waitForChanges({
+      era: 0,
+      revision: 2,
+    }, { signal });
     expect(ageMs).to.equal(800);
     expect(sender).to.equal(address);
   });
@@ -121,7 +132,9 @@
       res.setHeader("limpetshed-state-age-ms", "soon");
       res.end(EMPTY_BATCH);
     });
-    const { ageMs } = await source.waitForChanges(4, { signal });
+    const { ageMs } = await source.waitForChanges({ era: 0, revision: 4 }, {
+      signal,
+    });
     expect(ageMs).to.equal(Number.POSITIVE_INFINITY);
   });
 
@@ -172,9 +185,9 @@
       fc.property(fc.array(change), asOf, (changes, revision) => {
         const sent = { kind: "changes" as const, changes, asOf: revision };
         const text = JSON.stringify(sent);
-        const decoded = decodeUpdate(JSON.parse(text), { after: 0 });
+        const decoded = decodeUpdate(JSON.parse(text), { after: NO_POSITION });
         expect(JSON.stringify(decoded)).to.equal(
-          JSON.stringify({ kind: "changes", asOf: revision, changes }),
+          JSON.stringify({ kind: "changes", asOf: revision, changes, era: 0 }),
         );
       }),
     );
@@ -198,7 +211,7 @@
       fc.property(fc.oneof(update, fc.anything()), (value) => {
         const mirror = new KeyMirror();
         try {
-          mirror.apply(decodeUpdate(value, { after: mirror.asOf }));
+          mirror.apply(decodeUpdate(value, { after: mirror.position }));
         } catch (err) {
           expect(String(err)).to.contain(
             "invalid shared-state update from peer",
--- a/packages/fleet/tests/peer_directory_test.ts
+++ b/packages/fleet/tests/peer_directory_test.ts
@@ -30,7 +30,10 @@
         // Every second datagram is lost.
         if (cycle % 2 === 0) {
           directory.peers().forEach(({ id }) =>
-            directory.recordDatagram(id, { asOf: 1, storeConnectivity: "open" })
+            directory.recordDatagram(id, {
+              position: { era: 0, revision: 1 },
+              storeConnectivity: "open",
+            })
           );
         }
         expect(directory.livePeers()).to.have.length(peers);
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -4,11 +4,7 @@
   type RepeatingTask,
   splitHostPort,
 } from "@limpetshed/base";
-import {
-  DeferredRemovals,
-  type Endpoint,
-  PrefixPolicy,
-} from "@limpetshed/dispatch";
+import { type Endpoint, PrefixPolicy } from "@limpetshed/dispatch";
 import {
   LoadExchange,
   NodeRegistration,
@@ -18,12 +14,7 @@
   type StreamLogOptions,
 } from "@limpetshed/fleet";
 import { Rng } from "@limpetshed/hashing";
-import type {
-  ChangeReader,
-  ChangeSource,
-  KeyClass,
-  KeyMirror,
-} from "@limpetshed/mirror";
+import type { ChangeReader, ChangeSource, KeyClass } from "@limpetshed/mirror";
 import type { Logger, RelayMetrics } from "@limpetshed/observe";
 import {
   DirectConnector,
@@ -34,29 +25,16 @@
   TelemetryObserver,
   type WireFormat,
 } from "@limpetshed/relay";
+import type { RoutingConfig } from "@limpetshed/routing";
 import type { FleetRelaySettings } from "./fleet_relay_settings.ts";
 import { makeStateHandlers } from "./make_state_handlers.ts";
-import { NodeAddresses } from "./node_addresses.ts";
 import { NodeTunnels } from "./node_tunnels.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
+import { StateApplication, type StateTargets } from "./state_application.ts";
 import { StateReplica } from "./state_replica.ts";
 import { updateGauges } from "./update_gauges.ts";
 import { StreamRecords } from "./stream_records.ts";
 
-/** Components of a node to which changes of shared state are applied. */
-export interface StateTargets {
-  mirror: KeyMirror;
-  node: Pick<
-    RelayNode,
-    "config" | "registry" | "streamOrigins" | "serviceVersions"
-  >;
-  /** Delays the removal of endpoints whose entries were deleted. */
-  deferredRemovals: DeferredRemovals;
-  directory: PeerDirectory;
-  /** Addresses that are not those of endpoints, or of other nodes. */
-  addresses: Pick<NodeAddresses, "isOwn" | "isNode">;
-}
-
 /** Options of {@linkcode FleetRelay}. */
 export interface FleetRelayOptions {
   clock: Clock;
@@ -77,6 +55,8 @@
   connector?: EndpointConnector;
   /** Where the store keeps the versions of streams. */
   streamStore: Pick<StreamLogOptions, "store" | "batchPrefix" | "markKey">;
+  /** Decodes a configuration as it is stored; throws if it is none. */
+  decodeConfig: (text: string) => RoutingConfig;
   /** Subscribes the components to changes of shared state. */
   subscribeToState: (targets: StateTargets) => void;
   /** Fetches the ids of the prompt parts that an endpoint reports as cached. */
@@ -109,7 +89,7 @@
   readonly #loadExchange: LoadExchange;
   readonly #registration: NodeRegistration;
   readonly #streamRecords: StreamRecords;
-  readonly #deferredRemovals: DeferredRemovals;
+  readonly #stateApplication: StateApplication;
   readonly #housekeeping: RepeatingTask;
   #graceMs: number;
 
@@ -131,25 +111,23 @@
       storeSource: options.storeSource,
       keyClasses: options.keyClasses,
     });
-    const { mirror } = this.#state;
     this.#node = this.#makeNode();
     this.#recovery = this.#makeRecovery();
-    this.#deferredRemovals = this.#makeDeferredRemovals();
-    options.subscribeToState({
-      mirror,
-      node: this.#node,
-      deferredRemovals: this.#deferredRemovals,
+    this.#stateApplication = new StateApplication({
+      ...options,
+      rng: this.#rng,
       directory: this.#directory,
-      addresses: new NodeAddresses({
-        listen: settings.listen,
-        directory: this.#directory,
-      }),
+      state: this.#state,
+      node: this.#node,
     });
+    options.subscribeToState(this.#stateApplication.targets);
     this.#peerServer = new PeerServer({
       clock,
       tunnels: this.#tunnels.given,
-      mirror,
+      mirror: this.#state.mirror,
       placements: () => this.#recovery.encodedPlacements(),
+      configNewerThan: (version) =>
+        this.#stateApplication.configIntake.newerThan(version),
     });
     this.#metricsServer = new MetricsServer({
       metrics: options.metrics,
@@ -170,12 +148,15 @@
       node: this.#node,
       directory: this.#directory,
       writerId: () => this.#state.sourceSelector.fleetWriterId,
+      era: () => this.#state.mirror.era,
       send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
     });
     this.#registration = new NodeRegistration({
       clock,
       logger,
       ...options.registration,
+      era: () => this.#state.mirror.era,
+      random: () => this.#rng.fraction(),
     });
     const expireSilentPeers = () =>
       this.#node.endpointLoads.expirePeers(this.#directory.livenessTimeoutMs);
@@ -219,7 +200,7 @@
   /** Closes everything immediately. */
   async close(): Promise<void> {
     this.#recovery.close();
-    this.#deferredRemovals.close();
+    this.#stateApplication.close();
     this.#node.close();
     this.#tunnels.given.close();
     this.#peerServer.close();
@@ -287,16 +268,6 @@
     });
   }
 
-  #makeDeferredRemovals(): DeferredRemovals {
-    const { clock, settings } = this.#options;
-    return new DeferredRemovals({
-      clock,
-      registry: this.#node.registry,
-      lastOutageEndMs: () => this.#state.lastOutageEndMs,
-      drainMs: settings.drainMs,
-    });
-  }
-
   #makeTunnels(): NodeTunnels {
     const { clock, metrics, settings } = this.#options;
     return new NodeTunnels({
@@ -319,7 +290,7 @@
       nodeId: settings.nodeId,
       incarnation: settings.incarnation,
       directory: this.#directory,
-      asOf: () => this.#state.mirror.asOf,
+      position: () => this.#state.mirror.position,
       storeConnectivity: () => this.#state.sourceSelector.storeConnectivity,
       ...makeStateHandlers(this.#node),
       onOtherDatagram: (data) => this.#streamRecords.sharing.receive(data),
--- a/packages/fleet_relay/src/index.ts
+++ b/packages/fleet_relay/src/index.ts
@@ -1,9 +1,7 @@
 /** A relay node that is part of a fleet. */
-export {
-  FleetRelay,
-  type FleetRelayOptions,
-  type StateTargets,
-} from "./fleet_relay.ts";
+export { FleetRelay, type FleetRelayOptions } from "./fleet_relay.ts";
+export { ConfigIntake, type ConfigIntakeOptions } from "./config_intake.ts";
+export { type StateTargets } from "./state_application.ts";
 export type { FleetRelaySettings } from "./fleet_relay_settings.ts";
 export {
   PlacementRecovery,
--- a/packages/fleet_relay/src/state_ages.ts
+++ b/packages/fleet_relay/src/state_ages.ts
@@ -23,6 +23,10 @@
         this.#lastOutageEndMs = receivedMs;
       }
     });
+    // Entries that the copy lacks come back as after an outage.
+    mirror.onEraChange(({ receivedMs }) => {
+      this.#lastOutageEndMs = receivedMs;
+    });
     mirror.onChange((_change, { maxAgeMs, keyClass }) => {
       if (Number.isFinite(maxAgeMs)) {
         const labels = { keys: keyClass };
--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -7,7 +7,12 @@
   type WatcherCandidate,
 } from "@limpetshed/fleet";
 import type { Rng } from "@limpetshed/hashing";
-import type { KeyMirror, MirrorFollower } from "@limpetshed/mirror";
+import {
+  comparePositions,
+  type KeyMirror,
+  type MirrorFollower,
+  NO_POSITION,
+} from "@limpetshed/mirror";
 import { LagDetector } from "./lag_detector.ts";
 import { WatcherRanking } from "./watcher_ranking.ts";
 
@@ -144,8 +149,8 @@
   #isLagging(): boolean {
     const { directory, mirror } = this.#options;
     return this.#lagDetector.isLagging({
-      ownRevision: mirror.asOf,
-      newestRevision: directory.mostUpToDatePeer()?.asOf ?? 0,
+      own: mirror.position,
+      newest: directory.mostUpToDatePeer()?.position ?? NO_POSITION,
     });
   }
 
@@ -156,7 +161,8 @@
     const { directory, mirror, rng } = this.#options;
     const mostUpToDate = directory.mostUpToDatePeer();
     if (
-      mostUpToDate !== undefined && mostUpToDate.asOf > mirror.asOf &&
+      mostUpToDate !== undefined &&
+      comparePositions(mostUpToDate.position, mirror.position) > 0 &&
       (this.#isStale() || this.#isLagging())
     ) {
       return mostUpToDate.callAddress;
--- a/packages/fleet_relay/src/stream_records.ts
+++ b/packages/fleet_relay/src/stream_records.ts
@@ -20,6 +20,8 @@
   directory: PeerDirectory;
   /** Id of the node that writes to the store for the fleet. */
   writerId: () => string;
+  /** Latest era of the store that this node knows of. */
+  era: () => number;
   /** Sends datagrams to `ip:port`. */
   send: (address: string, datagrams: readonly Buffer[]) => void;
 }
@@ -35,7 +37,7 @@
   readonly #log: StreamLog;
 
   constructor(
-    { clock, logger, store, nodeId, node, directory, writerId, send }:
+    { clock, logger, store, nodeId, node, directory, writerId, era, send }:
       StreamRecordsOptions,
   ) {
     const startedMs = clock.monotonicMs();
@@ -43,6 +45,7 @@
       clock,
       logger,
       ...store,
+      era,
       marks: () =>
         clock.monotonicMs() - startedMs >= PEER_DISCOVERY_MS &&
           writerId() === nodeId
--- a/packages/fleet_relay/src/update_gauges.ts
+++ b/packages/fleet_relay/src/update_gauges.ts
@@ -20,6 +20,7 @@
   metrics.gauge("limpetshed_in_flight", node.inFlight);
   metrics.gauge("limpetshed_config_version", node.config.version);
   metrics.gauge("limpetshed_state_revision", state.mirror.asOf);
+  metrics.gauge("limpetshed_store_era", state.mirror.era);
   for (const { name, ageMs } of state.classAges()) {
     if (Number.isFinite(ageMs)) {
       const labels = { keys: name };
--- a/packages/fleet_relay/tests/helper_selector_test.ts
+++ b/packages/fleet_relay/tests/helper_selector_test.ts
@@ -29,7 +29,10 @@
 
   function hearFromAll(): void {
     directory.peers().forEach(({ id }) =>
-      directory.recordDatagram(id, { asOf: 1, storeConnectivity: "open" })
+      directory.recordDatagram(id, {
+        position: { era: 0, revision: 1 },
+        storeConnectivity: "open",
+      })
     );
   }
 
--- a/packages/fleet_relay/tests/lag_detector_test.ts
+++ b/packages/fleet_relay/tests/lag_detector_test.ts
@@ -1,4 +1,5 @@
 import { ManualClock } from "@limpetshed/base";
+import type { StorePosition } from "@limpetshed/mirror";
 import { expect } from "chai";
 import { describe, it } from "mocha";
 import { LagDetector } from "../src/lag_detector.ts";
@@ -11,14 +12,18 @@
   return { clock, detector: new LagDetector({ clock, maxLagMs: MAX_LAG_MS }) };
 }
 
+function at(revision: number): StorePosition {
+  return { era: 0, revision };
+}
+
 describe("LagDetector", () => {
   it("does not take a node that is always a little behind as lagging", async () => {
     const { clock, detector } = setUp();
     const verdicts: boolean[] = [];
     for (let revision = 1; revision <= 40; revision += 1) {
       verdicts.push(detector.isLagging({
-        ownRevision: revision,
-        newestRevision: revision + 3,
+        own: at(revision),
+        newest: at(revision + 3),
       }));
       await clock.advance(STEP_MS);
     }
@@ -27,25 +32,25 @@
 
   it("takes a node as lagging that stands still while others go on", async () => {
     const { clock, detector } = setUp();
-    for (let newestRevision = 6; newestRevision <= 10; newestRevision += 1) {
-      expect(detector.isLagging({ ownRevision: 5, newestRevision })).to.equal(
+    for (let newest = 6; newest <= 10; newest += 1) {
+      expect(detector.isLagging({ own: at(5), newest: at(newest) })).to.equal(
         false,
       );
       await clock.advance(STEP_MS);
     }
-    expect(detector.isLagging({ ownRevision: 5, newestRevision: 11 })).to.equal(
+    expect(detector.isLagging({ own: at(5), newest: at(11) })).to.equal(
       true,
     );
   });
 
   it("ends the lag of a node that has caught up", async () => {
     const { clock, detector } = setUp();
-    detector.isLagging({ ownRevision: 5, newestRevision: 9 });
+    detector.isLagging({ own: at(5), newest: at(9) });
     await clock.advance(2 * MAX_LAG_MS);
-    expect(detector.isLagging({ ownRevision: 9, newestRevision: 9 })).to.equal(
+    expect(detector.isLagging({ own: at(9), newest: at(9) })).to.equal(
       false,
     );
-    expect(detector.isLagging({ ownRevision: 9, newestRevision: 10 })).to.equal(
+    expect(detector.isLagging({ own: at(9), newest: at(10) })).to.equal(
       false,
     );
   });
--- a/packages/fleet_relay/tests/older_messages_test.ts
+++ b/packages/fleet_relay/tests/older_messages_test.ts
@@ -36,7 +36,7 @@
         nodeId: "n1",
         incarnation: "start-1",
         round: 7,
-        asOf: 42,
+        position: { era: 0, revision: 42 },
         storeConnectivity: "open",
         inFlightByEndpoint: [["e1/1", 3]],
         placements: ["p1", "e1/1"],
@@ -66,18 +66,28 @@
   });
 
   it("are decoded: changes and snapshots of shared state", () => {
-    expect(decodeUpdate(JSON.parse(MESSAGES.changes), { after: 5 }))
+    expect(
+      decodeUpdate(JSON.parse(MESSAGES.changes), {
+        after: { era: 0, revision: 5 },
+      }),
+    )
       .to.deep.equal({
         kind: "changes",
+        era: 0,
         changes: [
           { key: "servers/e1", value: undefined, revision: 6 },
           { key: "op/config", value: "{}", revision: 7 },
         ],
         asOf: 7,
       });
-    expect(decodeUpdate(JSON.parse(MESSAGES.snapshot), { after: 1 }))
+    expect(
+      decodeUpdate(JSON.parse(MESSAGES.snapshot), {
+        after: { era: 0, revision: 1 },
+      }),
+    )
       .to.deep.equal({
         kind: "snapshot",
+        era: 0,
         entries: [{ key: "op/config", value: "{}", revision: 7 }],
         asOf: 7,
       });
@@ -115,7 +125,7 @@
 
   it("with unknown fields are decoded without them", () => {
     const update = { kind: "changes", changes: [], asOf: 7, later: [1] };
-    expect(decodeUpdate(update, { after: 5 }))
-      .to.deep.equal({ kind: "changes", changes: [], asOf: 7 });
+    expect(decodeUpdate(update, { after: { era: 0, revision: 5 } }))
+      .to.deep.equal({ kind: "changes", era: 0, changes: [], asOf: 7 });
   });
 });
--- a/packages/fleet_relay/tests/state_source_selector_test.ts
+++ b/packages/fleet_relay/tests/state_source_selector_test.ts
@@ -48,7 +48,10 @@
         callAddress: `${id}:1`,
         datagramAddress: `${id}:2`,
       });
-      directory.recordDatagram(id, { asOf, storeConnectivity });
+      directory.recordDatagram(id, {
+        position: { era: 0, revision: asOf },
+        storeConnectivity,
+      });
     });
   const setKnownRevision = (asOf: number) => {
     const now = clock.monotonicMs();
@@ -130,7 +133,10 @@
     announcePeers(5);
     const parent = selector.selectPeer();
     const ahead = PEERS.find((id) => `${id}:1` !== parent)!;
-    directory.recordDatagram(ahead, { asOf: 9, storeConnectivity: "open" });
+    directory.recordDatagram(ahead, {
+      position: { era: 0, revision: 9 },
+      storeConnectivity: "open",
+    });
     expect(selector.selectPeer()).to.equal(parent);
   });
 
@@ -144,7 +150,10 @@
     announcePeers(5);
     const parent = selector.selectPeer();
     const ahead = PEERS.find((id) => `${id}:1` !== parent)!;
-    directory.recordDatagram(ahead, { asOf: 9, storeConnectivity: "open" });
+    directory.recordDatagram(ahead, {
+      position: { era: 0, revision: 9 },
+      storeConnectivity: "open",
+    });
     expect(selector.selectPeer()).to.equal(`${ahead}:1`);
   });
 
--- a/packages/fleet_relay/tests/stream_versions_test.ts
+++ b/packages/fleet_relay/tests/stream_versions_test.ts
@@ -8,6 +8,7 @@
   StreamOrigins,
 } from "@limpetshed/dispatch";
 import {
+  type Lease,
   PeerDirectory,
   type StreamGroupEntry,
   StreamLog,
@@ -40,20 +41,20 @@
     this.#clock = clock;
   }
 
-  grantLease(ttlMs: number): Promise<number> {
+  grantLease(ttlMs: number): Promise<Lease> {
     return this.#call(() => {
       const id = this.#leaseEndMs.size + 1;
       this.#ttlMs.set(id, ttlMs);
       this.#leaseEndMs.set(id, this.#clock.monotonicMs() + ttlMs);
-      return id;
+      return { id, era: 0 };
     });
   }
 
-  renewLease(lease: number): Promise<boolean> {
+  renewLease({ id }: Lease): Promise<boolean> {
     return this.#call(() => {
       this.#leaseEndMs.set(
-        lease,
-        this.#clock.monotonicMs() + this.#ttlMs.get(lease)!,
+        id,
+        this.#clock.monotonicMs() + this.#ttlMs.get(id)!,
       );
       return true;
     });
@@ -61,11 +62,11 @@
 
   put(
     key: string,
-    { value, lease }: { value: string; lease: number },
+    { value, lease }: { value: string; lease: Lease },
   ): Promise<boolean> {
     return this.#call(() => {
       this.writes += 1;
-      this.items.set(key, { value, lease });
+      this.items.set(key, { value, lease: lease.id });
       return true;
     });
   }
@@ -120,6 +121,7 @@
       store,
       batchPrefix: `streams/${id}/${clock.monotonicMs()}/`,
       markKey: ({ service, version }) => `versions/${service}/${version}`,
+      era: () => 0,
       marks: () => id === writer ? this.versions.inService() : [],
     });
     const directory = new PeerDirectory({ clock, selfId: id });
--- a/packages/fleet_relay/tests/support/simulated_fleet.ts
+++ b/packages/fleet_relay/tests/support/simulated_fleet.ts
@@ -4,9 +4,12 @@
 import {
   type ChangeBatch,
   ChangeSource,
+  comparePositions,
   type KeyClass,
   makePropagationBudget,
+  NO_POSITION,
   type Snapshot,
+  type StorePosition,
 } from "@limpetshed/mirror";
 import { makeLogger, RelayMetrics } from "@limpetshed/observe";
 import { StateReplica } from "../../src/state_replica.ts";
@@ -147,25 +150,25 @@
   }
 
   readAll(options: { signal: AbortSignal }): Promise<ChangeBatch | Snapshot> {
-    return this.waitForChanges(0, options);
+    return this.waitForChanges(NO_POSITION, options);
   }
 
   override resume(
-    revision: number,
+    after: StorePosition,
     options: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot> {
-    return this.waitForChanges(revision, options);
+    return this.waitForChanges(after, options);
   }
 
   waitForChanges(
-    revision: number,
+    after: StorePosition,
     { signal }: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot> {
     this.address = this.#selectPeer();
     this.#node.calledPeers.push(this.address ?? "");
     return withProgressTimeout(
       this.#fleet.clock,
-      (onProgress) => this.#call(revision, { signal, onProgress }),
+      (onProgress) => this.#call(after, { signal, onProgress }),
       {
         idleMs: PEER_IDLE_TIMEOUT_MS,
         totalMs: PEER_CALL_TIMEOUT_MS,
@@ -175,7 +178,7 @@
   }
 
   async #call(
-    revision: number,
+    after: StorePosition,
     { signal, onProgress }: { signal: AbortSignal; onProgress: () => void },
   ): Promise<ChangeBatch | Snapshot> {
     const { clock, store } = this.#fleet;
@@ -184,7 +187,7 @@
       throw new Error("no such peer");
     }
     const { mirror } = peer.replica;
-    if (mirror.asOf <= revision) {
+    if (comparePositions(mirror.position, after) <= 0) {
       const timeout = new AbortController();
       const timer = clock.setTimer(PEER_LONG_POLL_MS, () => timeout.abort());
       await mirror.waitForUpdate(timeout.signal);
@@ -192,7 +195,7 @@
     }
     const ageAtHeadMs = clock.monotonicMs() - mirror.confirmedMs;
     const headMs = clock.monotonicMs();
-    const update = mirror.changesAfter(revision);
+    const update = mirror.changesAfter(after);
     const changes = update.kind === "changes" ? update.changes : update.entries;
     const bytes = store.sizeOf(changes);
     await transfer(clock, [peer.uplink, this.#node.downlink], {
@@ -294,7 +297,7 @@
         .slice(start, start + Math.min(DATAGRAM_FANOUT, others.length))
     ) {
       directory.recordDatagram(node.id, {
-        asOf: node.replica.mirror.asOf,
+        position: node.replica.mirror.position,
         storeConnectivity: node.replica.sourceSelector.storeConnectivity,
       });
     }
--- a/packages/fleet_relay/tests/support/simulated_store.ts
+++ b/packages/fleet_relay/tests/support/simulated_store.ts
@@ -6,6 +6,7 @@
   type KeyChange,
   type ReadChangesOptions,
   type Snapshot,
+  type StorePosition,
 } from "@limpetshed/mirror";
 import { type SimulatedLink, transfer } from "./simulated_link.ts";
 
@@ -149,7 +150,7 @@
   }
 
   waitForChanges(
-    after: number,
+    { revision: after }: StorePosition,
     { signal }: { signal: AbortSignal },
   ): Promise<ChangeBatch> {
     const { watchWaitMs: waitMs } = this.#options;
@@ -160,7 +161,7 @@
     { keyClass, after, signal, onProgress }: ReadChangesOptions,
   ): Promise<ChangeBatch> {
     const prefixes = keyClass?.prefixes ?? [""];
-    const call = { after, waitMs: 0, signal, onProgress };
+    const call = { after: after.revision, waitMs: 0, signal, onProgress };
     const batch = await this.#call(prefixes, call);
     return { ...batch, keyClass: keyClass?.name };
   }
--- a/packages/mirror/src/change_source.ts
+++ b/packages/mirror/src/change_source.ts
@@ -1,15 +1,19 @@
 import type { KeyClass } from "./key_class.ts";
+import type { StorePosition } from "./store_position.ts";
 
 /** A write or deletion of one key; `value` is undefined for a deletion. */
 export interface KeyChange {
   key: string;
   value: string | undefined;
-  /** Store-wide revision; increases with each change of any key. */
+  /** Store-wide revision; increases with each change of any key within the era of
+   * the update. */
   revision: number;
 }
 
 /** What an update covers, how old it is and who sent it. */
 export interface UpdateProvenance {
+  /** Era of all revisions of the update; `UNNAMED_ERA` if undefined. */
+  era?: number;
   /** Name of the class of keys that the update is complete for; all keys if
    * undefined. */
   keyClass?: string;
@@ -44,23 +48,23 @@
   abstract readonly name: string;
 
   /**
-   * Long-polls for changes after `revision`. Resolves with the changes, which
-   * may be none once the source's wait timeout has passed, or with a snapshot
-   * if the changes are no longer available. Rejects if the source is
-   * unreachable.
+   * Long-polls for changes after a position. Resolves with the changes, which
+   * may be none once the source's wait timeout has passed, or with a snapshot of
+   * all keys if the changes are no longer available or a later era has begun.
+   * Rejects if the source is unreachable.
    */
   abstract waitForChanges(
-    revision: number,
+    after: StorePosition,
     options: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot>;
 
   /**
-   * Continues from `revision` after a failed call. By default reads all keys;
+   * Continues from a position after a failed call. By default reads all keys;
    * a source that reliably returns every change across outages overrides this
    * to read only the changes.
    */
   resume(
-    _revision: number,
+    _after: StorePosition,
     options: { signal: AbortSignal },
   ): Promise<ChangeBatch | Snapshot> {
     return this.readAll(options);
@@ -76,8 +80,8 @@
 export interface ReadChangesOptions {
   /** The keys to read; all if undefined. */
   keyClass: KeyClass | undefined;
-  /** Revision up to which they are known. */
-  after: number;
+  /** Position up to which they are known. */
+  after: StorePosition;
   signal: AbortSignal;
   /** Called for each part of the response that arrives. */
   onProgress: () => void;
@@ -85,7 +89,8 @@
 
 /** Reads what has changed without waiting for a change. */
 export interface ChangeReader {
-  /** Each call uses a connection on which no other call waits. Rejects if the
+  /** Resolves with a snapshot of all keys, whatever class is asked for, if a later
+   * era than that of `after` has begun. Each call uses a connection on which no other call waits. Rejects if the
    * source is unreachable; has no time limit but `signal`. */
   read(options: ReadChangesOptions): Promise<ChangeBatch | Snapshot>;
 }
--- a/packages/mirror/src/index.ts
+++ b/packages/mirror/src/index.ts
@@ -12,6 +12,7 @@
 export {
   type ChangeOrigin,
   type ConfirmationListener,
+  type EraChange,
   KeyMirror,
   type MirrorListener,
   type UpdateTimes,
@@ -32,4 +33,11 @@
   StateConfirmer,
   type StateConfirmerOptions,
 } from "./state_confirmer.ts";
+export {
+  comparePositions,
+  isEra,
+  NO_POSITION,
+  type StorePosition,
+  UNNAMED_ERA,
+} from "./store_position.ts";
 export { ConfirmationWaiters } from "./confirmation_waiters.ts";
--- a/packages/mirror/src/key_mirror.ts
+++ b/packages/mirror/src/key_mirror.ts
@@ -1,5 +1,10 @@
 import type { ChangeBatch, KeyChange, Snapshot } from "./change_source.ts";
 import { ALL_KEYS, findKeyClass, type KeyClass } from "./key_class.ts";
+import {
+  comparePositions,
+  type StorePosition,
+  UNNAMED_ERA,
+} from "./store_position.ts";
 
 /** How a change reached this node. */
 export interface ChangeOrigin {
@@ -10,6 +15,22 @@
   /** Upper bound of the time since the change happened, milliseconds; infinite
    * for the first state of this node. */
   maxAgeMs: number;
+  /** Whether the change is a difference between the state that was known and the
+   * copy from which the store came back, so that it may undo a later one. */
+  isRestored: boolean;
+}
+
+/** How a mirror entered a later era of the store. */
+export interface EraChange {
+  /** Position before. */
+  previous: StorePosition;
+  position: StorePosition;
+  /** `ip:port` of the node that sent the state; undefined if the store did. */
+  sender: string | undefined;
+  /** Keys that were known and that the store does not have any more. */
+  missingKeys: readonly string[];
+  /** Monotonic time at which the state was received. */
+  receivedMs: number;
 }
 
 /** When an update was received and how current it was, as monotonic times of
@@ -49,8 +70,9 @@
 
 /**
  * A local replica of the watched keys, which can be updated from several
- * sources, by class of keys or all at once. Revisions are monotonic in each
- * class: a change at or below the revision already applied is ignored.
+ * sources, by class of keys or all at once. All of it is of one era. Within an era
+ * revisions are monotonic in each class: a change at or below the revision already
+ * applied is ignored. Only a snapshot of all keys leads to a later era.
  */
 export class KeyMirror {
   readonly #classes: readonly KeyClass[];
@@ -59,7 +81,9 @@
   readonly #recentChanges: KeyChange[] = [];
   readonly #listeners: MirrorListener[] = [];
   readonly #confirmationListeners: ConfirmationListener[] = [];
+  readonly #eraListeners: ((change: EraChange) => void)[] = [];
   readonly #waiters = new Set<() => void>();
+  #era = UNNAMED_ERA;
   /** Changes at or below this revision are no longer retained. */
   #compactedRevision = 0;
 
@@ -86,6 +110,16 @@
     return Math.min(...[...this.#states.values()].map(({ asOf }) => asOf));
   }
 
+  /** Era of all that is applied. */
+  get era(): number {
+    return this.#era;
+  }
+
+  /** Position up to which all changes are applied. */
+  get position(): StorePosition {
+    return { era: this.#era, revision: this.asOf };
+  }
+
   /** Latest monotonic time at which the mirror is known to have held the newest
    * state of the store; negative infinity before the first read. */
   get confirmedMs(): number {
@@ -115,19 +149,72 @@
     this.#confirmationListeners.push(listener);
   }
 
+  /** Registers a listener for later eras. It is called before the changes of the
+   * update are applied, and not for the first state of this node. */
+  onEraChange(listener: (change: EraChange) => void): void {
+    this.#eraListeners.push(listener);
+  }
+
   /** Applies an update from a source to the classes that it covers and that are
    * not newer. Without `times` the update says nothing about how current the
-   * mirror is. */
+   * mirror is. Returns whether it covers a class that is not newer. */
   apply(
     update: ChangeBatch | Snapshot,
-    { receivedMs, confirmedMs }: UpdateTimes = UNKNOWN_TIMES,
+    times: UpdateTimes = UNKNOWN_TIMES,
+  ): boolean {
+    const { era = UNNAMED_ERA } = update;
+    if (era === this.#era) {
+      return this.#applyUpdate(update, times, { isRestored: false });
+    }
+    const isComplete = update.kind === "snapshot" &&
+      update.keyClass === undefined;
+    if (era < this.#era || !isComplete) {
+      return false;
+    }
+    const isRestored = this.asOf > 0;
+    this.#enterEra(update, times);
+    return this.#applyUpdate(update, times, { isRestored });
+  }
+
+  #enterEra(
+    { era = UNNAMED_ERA, entries, asOf, sender }: Snapshot,
+    { receivedMs }: UpdateTimes,
   ): void {
+    const previous = this.position;
+    this.#era = era;
+    this.#compactedRevision = 0;
+    for (const state of this.#states.values()) {
+      state.asOf = 0;
+    }
+    // Revisions of the era before say nothing about those of this one.
+    for (const [key, entry] of this.#entries) {
+      this.#entries.set(key, { ...entry, revision: 0 });
+    }
+    if (previous.revision > 0) {
+      const present = new Set(entries.map(({ key }) => key));
+      const change = {
+        previous,
+        position: { era, revision: asOf },
+        sender,
+        missingKeys: [...this.#entries.keys()]
+          .filter((key) => !present.has(key)),
+        receivedMs,
+      };
+      this.#eraListeners.forEach((listener) => listener(change));
+    }
+  }
+
+  #applyUpdate(
+    update: ChangeBatch | Snapshot,
+    { receivedMs, confirmedMs }: UpdateTimes,
+    { isRestored }: { isRestored: boolean },
+  ): boolean {
     const updated = [...this.#states.values()].filter(({ keyClass, asOf }) =>
       update.asOf >= asOf &&
       (update.keyClass === undefined || update.keyClass === keyClass.name)
     );
     if (updated.length === 0) {
-      return;
+      return false;
     }
     const origins = new Map<string, ChangeOrigin>();
     for (const { keyClass, confirmedMs: previousMs } of updated) {
@@ -137,6 +224,7 @@
         sender: update.sender,
         keyClass: keyClass.name,
         maxAgeMs: ageMs,
+        isRestored,
       });
       this.#confirmationListeners.forEach((listener) =>
         listener({ keyClass, ageMs, receivedMs })
@@ -164,16 +252,21 @@
       state.confirmedMs = Math.max(state.confirmedMs, confirmedMs);
     }
     [...this.#waiters].forEach((notify) => notify());
+    return true;
   }
 
-  /** Returns the latest change of each key after `revision` and up to `asOf`, or a
-   * snapshot if they are no longer retained; no changes if `revision` is ahead
-   * of this mirror. */
-  changesAfter(revision: number): ChangeBatch | Snapshot {
-    const { asOf } = this;
-    if (revision < this.#compactedRevision) {
+  /** Returns the latest change of each key after a position and up to that of this
+   * mirror, or a snapshot if they are no longer retained or of a later era; no
+   * changes if the position is ahead of this mirror. */
+  changesAfter(after: StorePosition): ChangeBatch | Snapshot {
+    const { asOf, era } = this;
+    if (comparePositions(after, { era, revision: asOf }) > 0) {
+      return { kind: "changes", era, changes: [], asOf };
+    }
+    const { revision } = after;
+    if (after.era < era || revision < this.#compactedRevision) {
       const entries = [...this.#entries.values()];
-      return { kind: "snapshot", entries, asOf };
+      return { kind: "snapshot", era, entries, asOf };
     }
     const latestByKey = new Map<string, KeyChange>();
     for (const change of this.#recentChanges) {
@@ -185,7 +278,7 @@
     }
     const changes = [...latestByKey.values()]
       .sort((a, b) => a.revision - b.revision);
-    return { kind: "changes", changes, asOf };
+    return { kind: "changes", era, changes, asOf };
   }
 
   /** Resolves on the next update, or when `signal` aborts. */
@@ -236,6 +329,10 @@
     if (change.revision <= (current?.revision ?? 0)) {
       return;
     }
+    if (origin.isRestored && change.value === current?.value) {
+      this.#entries.set(change.key, change);
+      return;
+    }
     if (change.value === undefined) {
       this.#entries.delete(change.key);
     } else {
--- a/packages/mirror/src/mirror_follower.ts
+++ b/packages/mirror/src/mirror_follower.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "@limpetshed/observe";
 import type { ChangeBatch, ChangeSource, Snapshot } from "./change_source.ts";
 import type { KeyMirror } from "./key_mirror.ts";
+import { UNNAMED_ERA } from "./store_position.ts";
 
 /** Options of {@linkcode MirrorFollower}. */
 export interface MirrorFollowerOptions {
@@ -78,7 +79,7 @@
   }
 
   async #run(): Promise<void> {
-    const { clock, isEnabled, gatherMs, disabledPollMs } = this.#options;
+    const { clock, isEnabled, disabledPollMs } = this.#options;
     const { signal } = this.#abortController;
     while (!signal.aborted) {
       if (!isEnabled()) {
@@ -89,10 +90,10 @@
         continue;
       }
       try {
-        const hasChanges = await this.#fetchAndApplyUpdate(signal);
+        const pauseMs = await this.#fetchAndApplyUpdate(signal);
         this.#recordSuccess();
-        if (hasChanges && gatherMs > 0) {
-          await sleep(clock, gatherMs, { signal });
+        if (pauseMs > 0) {
+          await sleep(clock, pauseMs, { signal });
         }
       } catch (err) {
         if (!signal.aborted) {
@@ -103,25 +104,34 @@
     }
   }
 
-  /** Resolves to whether the update has changes of the state that was known. */
-  async #fetchAndApplyUpdate(signal: AbortSignal): Promise<boolean> {
-    const { mirror, source, clock } = this.#options;
-    const { asOf } = mirror;
+  /** Resolves to the time to wait before the next call, milliseconds. */
+  async #fetchAndApplyUpdate(signal: AbortSignal): Promise<number> {
+    const { mirror, source, clock, gatherMs, maxRetryDelayMs } = this.#options;
+    const { position } = mirror;
     this.#callStartMs = clock.monotonicMs();
     let update: ChangeBatch | Snapshot;
     try {
-      update = asOf === 0
+      update = position.revision === 0
         ? await source.readAll({ signal })
         : this.#consecutiveFailures > 0
-        ? await source.resume(asOf, { signal })
-        : await source.waitForChanges(asOf, { signal });
+        ? await source.resume(position, { signal })
+        : await source.waitForChanges(position, { signal });
     } finally {
       this.#callStartMs = undefined;
     }
     const receivedMs = clock.monotonicMs();
     const confirmedMs = receivedMs - (update.ageMs ?? 0);
-    mirror.apply(update, { receivedMs, confirmedMs });
-    return update.kind === "changes" && update.changes.length > 0;
+    const isApplied = mirror.apply(update, { receivedMs, confirmedMs });
+    if (update.kind === "changes") {
+      const { era = UNNAMED_ERA } = update;
+      if (!isApplied && era !== position.era) {
+        throw new Error(`the changes are of era ${era}, not ${position.era}`);
+      }
+      return update.changes.length > 0 ? gatherMs : 0;
+    }
+    // A source that returned the same snapshot again would be called without a
+    // pause.
+    return isApplied ? 0 : maxRetryDelayMs;
   }
 
   #recordSuccess(): void {
--- a/packages/mirror/src/state_confirmer.ts
+++ b/packages/mirror/src/state_confirmer.ts
@@ -52,7 +52,7 @@
         clock,
         reader.read({
           keyClass: undefined,
-          after: mirror.asOf,
+          after: mirror.position,
           signal,
           onProgress: () => undefined,
         }),
--- a/packages/mirror/src/state_refresher.ts
+++ b/packages/mirror/src/state_refresher.ts
@@ -154,9 +154,12 @@
       }
       const call: Call = { keyClass, lastProgressMs: Number.NEGATIVE_INFINITY };
       calls.add(call);
-      const after = keyClass === undefined
-        ? mirror.asOf
-        : mirror.classAsOf(keyClass);
+      const after = {
+        era: mirror.era,
+        revision: keyClass === undefined
+          ? mirror.asOf
+          : mirror.classAsOf(keyClass),
+      };
       const onProgress = () => {
         call.lastProgressMs = clock.monotonicMs();
       };
--- a/packages/mirror/tests/key_mirror_test.ts
+++ b/packages/mirror/tests/key_mirror_test.ts
@@ -88,13 +88,15 @@
     mirror.apply({ kind: "snapshot", entries: [put("a", 3)], asOf: 5 });
     mirror.apply({ kind: "changes", changes: [put("b", 6)], asOf: 6 });
     mirror.apply({ kind: "changes", changes: [deletion("a", 7)], asOf: 7 });
-    expect(mirror.changesAfter(6)).to.deep.equal({
+    expect(mirror.changesAfter({ era: 0, revision: 6 })).to.deep.equal({
       kind: "changes",
+      era: 0,
       changes: [deletion("a", 7)],
       asOf: 7,
     });
-    expect(mirror.changesAfter(2)).to.deep.equal({
+    expect(mirror.changesAfter({ era: 0, revision: 2 })).to.deep.equal({
       kind: "snapshot",
+      era: 0,
       entries: [put("b", 6)],
       asOf: 7,
     });
@@ -105,8 +107,9 @@
     const changes = [put("a", 2), put("b", 3), put("a", 4), deletion("b", 5)];
     mirror.apply({ kind: "snapshot", entries: [], asOf: 1 });
     mirror.apply({ kind: "changes", changes, asOf: 5 });
-    expect(mirror.changesAfter(1)).to.deep.equal({
+    expect(mirror.changesAfter({ era: 0, revision: 1 })).to.deep.equal({
       kind: "changes",
+      era: 0,
       changes: [put("a", 4), deletion("b", 5)],
       asOf: 5,
     });
@@ -115,8 +118,9 @@
   it("returns no changes to a follower that is ahead", () => {
     const { mirror } = makeRecordingMirror();
     mirror.apply({ kind: "snapshot", entries: [put("a", 3)], asOf: 5 });
-    expect(mirror.changesAfter(9)).to.deep.equal({
+    expect(mirror.changesAfter({ era: 0, revision: 9 })).to.deep.equal({
       kind: "changes",
+      era: 0,
       changes: [],
       asOf: 5,
     });
@@ -130,18 +134,106 @@
       applied.push(`${key}=${value ?? "-"}`)
     );
     peer.apply({ kind: "snapshot", entries: [put("a", 1)], asOf: 1 });
-    follower.apply(peer.changesAfter(follower.asOf));
+    follower.apply(peer.changesAfter(follower.position));
     for (let revision = 2; revision < 5_000; revision += 1) {
       const change = revision % 3 === 0
         ? deletion("a", revision)
         : put("a", revision);
       peer.apply({ kind: "changes", changes: [change], asOf: revision });
     }
-    follower.apply(peer.changesAfter(follower.asOf));
+    follower.apply(peer.changesAfter(follower.position));
     expect(applied.at(-1)).to.equal("a=v4999");
     expect(follower.asOf).to.equal(4_999);
   });
 
+  describe("in a later era of the store", () => {
+    function makeMirror() {
+      const { mirror, applied } = makeRecordingMirror();
+      const entries = [put("a", 3), put("b", 9)];
+      mirror.apply({ kind: "snapshot", era: 1, entries, asOf: 9 });
+      return { mirror, applied };
+    }
+
+    // Updates at or below the revision of the lost state were ignored.
+    it("applies a snapshot and changes with lower revisions", () => {
+      const { mirror, applied } = makeMirror();
+      const eras: unknown[] = [];
+      mirror.onEraChange(({ previous, position, missingKeys }) =>
+        eras.push([previous, position, missingKeys])
+      );
+      const entries = [put("a", 3), put("c", 5)];
+      mirror.apply({ kind: "snapshot", era: 2, entries, asOf: 5 });
+      mirror.apply({
+        kind: "changes",
+        era: 2,
+        changes: [put("a", 6)],
+        asOf: 6,
+      });
+      expect(applied).to.deep.equal([
+        ...["a=v3", "b=v9"],
+        ...["b=-", "c=v5", "a=v6"],
+      ]);
+      expect(mirror.position).to.deep.equal({ era: 2, revision: 6 });
+      expect(eras).to.deep.equal([
+        [{ era: 1, revision: 9 }, { era: 2, revision: 5 }, ["b"]],
+      ]);
+    });
+
+    it("marks the differences to the copy only", () => {
+      const { mirror } = makeMirror();
+      const restored: boolean[] = [];
+      mirror.onChange((_change, { isRestored }) => restored.push(isRestored));
+      const entries = [put("a", 3), put("c", 5)];
+      mirror.apply({ kind: "snapshot", era: 2, entries, asOf: 5 });
+      mirror.apply({
+        kind: "changes",
+        era: 2,
+        changes: [put("a", 6)],
+        asOf: 6,
+      });
+      expect(restored).to.deep.equal([true, true, false]);
+    });
+
+    it("is entered by a snapshot of all keys only", () => {
+      const { mirror, applied } = makeMirror();
+      const update = { era: 2, asOf: 20 };
+      const changes = [put("a", 20)];
+      mirror.apply({ ...update, kind: "changes", changes });
+      mirror.apply({
+        ...update,
+        kind: "snapshot",
+        keyClass: "all",
+        entries: changes,
+      });
+      expect(applied).to.have.length(2);
+      expect(mirror.era).to.equal(1);
+    });
+
+    it("ignores updates of an earlier era, however high their revisions", () => {
+      const { mirror, applied } = makeMirror();
+      const entries = [put("a", 99)];
+      expect(mirror.apply({ kind: "snapshot", entries, asOf: 99 }))
+        .to.equal(false);
+      expect(applied).to.have.length(2);
+      expect(mirror.position).to.deep.equal({ era: 1, revision: 9 });
+    });
+
+    it("gives followers of an earlier one all keys, and none to those ahead", () => {
+      const { mirror } = makeMirror();
+      expect(mirror.changesAfter({ era: 0, revision: 99 })).to.deep.include({
+        kind: "snapshot",
+        era: 1,
+        asOf: 9,
+      });
+      expect(mirror.changesAfter({ era: 2, revision: 1 })).to.deep.equal({
+        kind: "changes",
+        era: 1,
+        changes: [],
+        asOf: 9,
+      });
+    });
+  });
+
   describe("with classes of keys", () => {
     const classes: [KeyClass, KeyClass] = [
       { name: "endpoints", prefixes: ["e/", "op/zone/"] },
@@ -233,8 +325,9 @@
         changes: [deletion("e/2", 8)],
         asOf: 9,
       });
-      expect(mirror.changesAfter(5)).to.deep.equal({
+      expect(mirror.changesAfter({ era: 0, revision: 5 })).to.deep.equal({
         kind: "changes",
+        era: 0,
         changes: [put("e/2", 6)],
         asOf: 6,
       });
--- a/packages/mirror/tests/mirror_follower_test.ts
+++ b/packages/mirror/tests/mirror_follower_test.ts
@@ -9,6 +9,7 @@
 } from "../src/change_source.ts";
 import { KeyMirror } from "../src/key_mirror.ts";
 import { MirrorFollower } from "../src/mirror_follower.ts";
+import type { StorePosition } from "../src/store_position.ts";
 
 /** A source whose reachability and revision are set by the test. */
 class FakeSource extends ChangeSource {
@@ -19,7 +20,7 @@
   changePolls = 0;
   #resolvePendingPoll: (() => void) | undefined;
 
-  waitForChanges(revision: number): Promise<ChangeBatch> {
+  waitForChanges({ revision }: StorePosition): Promise<ChangeBatch> {
     this.changePolls += 1;
     if (this.isDown) {
       return Promise.reject(new Error("down"));
@@ -54,8 +55,8 @@
 
 /** A source that returns changes, not a snapshot, after an outage. */
 class ResumableSource extends FakeSource {
-  override resume(revision: number): Promise<ChangeBatch> {
-    return this.waitForChanges(revision);
+  override resume(after: StorePosition): Promise<ChangeBatch> {
+    return this.waitForChanges(after);
   }
 }
 
--- a/packages/mirror/tests/state_confirmer_test.ts
+++ b/packages/mirror/tests/state_confirmer_test.ts
@@ -17,7 +17,11 @@
         new Promise<ChangeBatch>((resolve, reject) =>
           calls.push({
             answer: () =>
-              resolve({ kind: "changes", changes: [], asOf: after + 1 }),
+              resolve({
+                kind: "changes",
+                changes: [],
+                asOf: after.revision + 1,
+              }),
             fail: () => reject(new Error("refused")),
           })
         ),
--- a/packages/mirror/tests/state_refresher_test.ts
+++ b/packages/mirror/tests/state_refresher_test.ts
@@ -43,7 +43,7 @@
               kind: "changes",
               keyClass: options.keyClass?.name,
               changes: [],
-              asOf: options.after,
+              asOf: options.after.revision,
             }),
           fail,
         });
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -121,6 +121,11 @@
   limpetshed_in_flight: row("gauge", [], "Requests in flight."),
   limpetshed_config_version: row("gauge", [], "Active configuration version."),
   limpetshed_state_revision: row("gauge", [], "Revision of the shared state."),
+  limpetshed_store_era: row(
+    "gauge",
+    [],
+    "Era of the store that the shared state is of.",
+  ),
   limpetshed_state_age_seconds: row(
     "gauge",
     ["keys"],
