fix(relay): keep one origin for each stream over the attempts of its request

Cause: each attempt records where the stream begins before it is sent. If the first is reset and the next goes to another version, one id has two records; the arrival of the first from the store counted as that of the second, which was not reported. Until then other nodes acted on the first, and knew the stream as ambiguous once both had arrived. An ended attempt that was verified late could record its version over that of the next one.

Now an attempt that ends before the first event takes its record back, or, if it was reported, binds the next ones to its version. A stored record counts only with the same origin.

--- a/packages/dispatch/src/stream_origins.ts
+++ b/packages/dispatch/src/stream_origins.ts
@@ -81,8 +81,7 @@
     this.#listeners.push(listener);
   }
 
-  /** Records that a stream of this node begins at `origin`; takes the place of an
-   * origin at which it has not begun after all. */
+  /** Records that a stream of this node begins at `origin`. */
   recordBegun(key: string, origin: StreamOrigin): void {
     const now = this.#clock.monotonicMs();
     this.#origins.set(key, { origin, recordedMs: now });
@@ -94,6 +93,17 @@
     this.#listeners.forEach((listener) => listener());
   }
 
+  /** Takes back the record of a stream of this node that has not begun after all;
+   * false if it was reported, so that other nodes may know it. */
+  retract(key: string): boolean {
+    if (this.#unstored.get(key)?.reportedMs !== Number.NEGATIVE_INFINITY) {
+      return false;
+    }
+    this.#unstored.delete(key);
+    this.#origins.delete(key);
+    return true;
+  }
+
   /** Records that a stream of this node is complete. */
   recordCompleted(key: string): void {
     this.#unstored.delete(key);
@@ -113,12 +123,15 @@
     this.#stored.clear();
   }
 
-  /** Records streams that are in the store. */
+  /** Records streams that are in the store. Of an unfinished stream of this node, a
+   * record with another origin is not its own. */
   recordStored({ service, version, streams }: StreamGroup): void {
+    const origin = { service, version };
     for (const key of streams) {
-      this.#record(key, { service, version });
-      const own = this.#unstored.get(key);
-      if (own !== undefined) {
+      const own = this.#unstored.get(key) ?? this.#stored.get(key);
+      if (own === undefined) {
+        this.#record(key, origin);
+      } else if (isSameOrigin(own.origin, origin)) {
         this.#stored.set(key, own);
         this.#unstored.delete(key);
       }
@@ -166,9 +179,7 @@
   #record(key: string, origin: StreamOrigin): void {
     const known = this.#origins.get(key);
     const isSame = known === undefined || this.#isExpired(known.recordedMs) ||
-      (known.origin !== "ambiguous" &&
-        known.origin.service === origin.service &&
-        known.origin.version === origin.version);
+      (known.origin !== "ambiguous" && isSameOrigin(known.origin, origin));
     this.#origins.set(key, {
       origin: isSame ? origin : "ambiguous",
       recordedMs: this.#clock.monotonicMs(),
@@ -179,3 +190,7 @@
     return this.#clock.monotonicMs() - recordedMs > STREAM_RETENTION_MS;
   }
 }
+
+function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
+  return a.service === b.service && a.version === b.version;
+}
--- a/packages/relay/src/attempt_origin.ts
+++ b/packages/relay/src/attempt_origin.ts
@@ -31,6 +31,8 @@
   readonly #options: AttemptOriginOptions;
   readonly #verifier: VersionVerifier;
   #isKnown = false;
+  /** Whether this attempt made the record. */
+  #isRecorded = false;
   #isOver = false;
   #openedMs: number | undefined;
   #cancelWait: () => void = () => undefined;
@@ -67,16 +69,21 @@
   }
 
   /** Called at the end of the attempt. A stream that was broken off after its first
-   * event may go on elsewhere, so where it began is found out first. */
+   * event may go on elsewhere, so where it began is found out first. One that has
+   * not begun may begin elsewhere, but only at the same version if other nodes may
+   * know of the record. */
   async end(outcome: SendOutcome): Promise<void> {
+    const { request } = this.#options;
     this.#cancelWait();
     if (outcome === "delivered") {
       this.#isOver = true;
     } else if (
-      this.#openedMs !== undefined &&
-      this.#options.request.version === this.#unknownVersion
+      this.#openedMs !== undefined && request.version === this.#unknownVersion
     ) {
       await this.#verifyAndRecord(this.#openedMs);
+    } else if (request.version === undefined) {
+      this.#isOver = true;
+      this.#retract();
     }
   }
 
@@ -98,14 +105,28 @@
 
   #record(): void {
     const { request, streamOrigins } = this.#options;
-    const { account, requestId, service } = request;
     const version = this.#version;
     this.#isKnown = true;
     if (request.version === this.#unknownVersion) {
       request.version = version;
     }
-    const key = streamKey(account, requestId);
-    streamOrigins.recordBegun(key, { service, version });
+    if (request.reportedVersion !== version) {
+      this.#isRecorded = true;
+      const { service } = request;
+      streamOrigins.recordBegun(this.#key, { service, version });
+    }
+  }
+
+  #retract(): void {
+    const { request, streamOrigins } = this.#options;
+    if (this.#isRecorded && !streamOrigins.retract(this.#key)) {
+      request.reportedVersion = this.#version;
+    }
+  }
+
+  get #key(): string {
+    const { account, requestId } = this.#options.request;
+    return streamKey(account, requestId);
   }
 
   get #version(): string {
--- a/packages/relay/src/relay_request.ts
+++ b/packages/relay/src/relay_request.ts
@@ -14,6 +14,9 @@
   /** Software version at which the stream began and has to go on; undefined
    * before its first event. */
   version: string | undefined;
+  /** Software version at which an earlier attempt was reported to have begun the
+   * stream, though it did not: another one would make two records of it. */
+  reportedVersion: string | undefined;
 }
 
 /** What a client says of a stream that it resumes. */
@@ -70,5 +73,13 @@
     receivedAttempts: 0,
     mayHaveRun: false,
     version: undefined,
+    reportedVersion: undefined,
   };
 }
+
+/** Software version to which the next attempt must go, if any. */
+export function requiredVersion(
+  { version, reportedVersion }: RelayRequest,
+): string | undefined {
+  return version ?? reportedVersion;
+}
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -25,7 +25,11 @@
 import type { LeavingRecorder } from "./leaving_recorder.ts";
 import type { LimitRecorder } from "./limit_recorder.ts";
 import type { RelayObserver } from "./relay_observer.ts";
-import type { AbortReason, RelayRequest } from "./relay_request.ts";
+import {
+  type AbortReason,
+  type RelayRequest,
+  requiredVersion,
+} from "./relay_request.ts";
 import type { ResponseWriter } from "./response_writer.ts";
 import type { EndpointAnswer, RestRecorder } from "./rest_recorder.ts";
 import { mayHaveRun, type RetryGuard } from "./retry_guard.ts";
@@ -151,7 +155,7 @@
       format,
       framer,
       repeatable: isRetryable(request.route),
-      verifier: request.version === undefined
+      verifier: requiredVersion(request) === undefined
         ? undefined
         : new VersionVerifier({ endpoint, registry, view }),
       clock,
@@ -243,7 +247,7 @@
       spec,
       prompt: request.prompt,
       tried: request.tried,
-      version: request.version,
+      version: requiredVersion(request),
       overloadInput: {
         account: request.account,
         priority: request.priority,
--- a/packages/relay/tests/software_version_test.ts
+++ b/packages/relay/tests/software_version_test.ts
@@ -49,9 +49,11 @@
 // A stream went on at another software version than the one that began it.
 describe("a node before endpoints of two software versions", () => {
   let fixture: RelayFixture;
+  let versionsTried: string[];
 
   beforeEach(() => {
     fixture = new RelayFixture();
+    versionsTried = [];
   });
 
   afterEach(() => fixture.close());
@@ -225,4 +227,62 @@
     const versions = versionsIn({ ...res, body: body + res.body });
     expect(new Set(versions).size).to.equal(1);
   });
+
+  /** Loses the first attempt of each request, after `beforeLoss`; completes the
+   * next one. */
+  function lostAttempt(
+    version: string,
+    beforeLoss: () => void,
+  ): RequestHandler {
+    return (request, res, socket) => {
+      versionsTried.push(version);
+      const attempts = fixture.endpoints.flatMap(({ requests }) => requests)
+        .filter(({ id }) => id === request.id);
+      if (attempts.length === 1) {
+        beforeLoss();
+        socket.resetAndDestroy();
+        return;
+      }
+      res.writeHead(200, {
+        "content-type": "text/event-stream",
+        "x-id": request.id,
+        "x-signed": "1",
+      });
+      res.end(event(1, version));
+    };
+  }
+
+  // The first attempt of a request was recorded at one version and lost, the next
+  // one began the stream at another: other nodes resumed it at the first.
+  it("begins a stream at the version at which it was reported before", async () => {
+    const report = () =>
+      fixture.node.streamOrigins.takeReports({
+        needsRecord: () => true,
+        max: 10,
+      });
+    await start((version) => lostAttempt(version, () => void report()));
+    for (let index = 0; index < STREAM_COUNT; index += 1) {
+      versionsTried = [];
+      const { status } = await fixture.send("/resume/", { id: `r${index}` });
+      expect(status).to.equal(200);
+      expect(versionsTried).to.have.length(2);
+      expect(versionsTried[1]).to.equal(versionsTried[0]);
+    }
+  });
+
+  it("begins a stream at any version while no other node knows of it", async () => {
+    await start((version) => lostAttempt(version, () => undefined));
+    setReady("v1");
+    fixture.endpoints.forEach((endpoint, index) => {
+      endpoint.handler = lostAttempt(VERSIONS[index]!, () => setReady("v2"));
+    });
+    const { status, body } = await fixture.send("/resume/", { id: "r" });
+    expect(status).to.equal(200);
+    expect(body).to.equal(event(1, "v2"));
+    const [group] = fixture.node.streamOrigins.takeReports({
+      needsRecord: () => true,
+      max: 10,
+    });
+    expect(group).to.equal(undefined);
+  });
 });
