fix(relay): complete a response without framing only if its end is vouched for

Cause: the end of a connection was taken for the end of a response that has neither length nor chunks, unless the endpoint refused connections and had not said that it leaves.

The test "completes a response without framing whose endpoint leaves" stopped the endpoint in mid-stream and expected a complete response, against "An answer that ends early must not look complete"; it is replaced by one for an endpoint that is gone and one for an endpoint that still listens.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -44,6 +44,7 @@
   isStreamGroup,
   type StreamGroupEntry,
 } from "./stream_message.ts";
+export { askTunnelEnd, type AskTunnelEndOptions } from "./ask_tunnel_end.ts";
 export {
   openTunnel,
   TUNNEL_OUTCOME_HEADER,
--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -34,6 +34,10 @@
 /** HTTP path of placements. */
 export const PLACEMENTS_PATH = "/placements";
 
+/** HTTP path at which a node tells whether a tunnel that it gave was ended by its
+ * endpoint. */
+export const TUNNEL_END_PATH = "/tunnel-end";
+
 /** HTTP path of the newest configuration that a node knows. */
 export const CONFIG_PATH = "/config";
 
@@ -90,6 +94,12 @@
         return configNewerThan?.(version) ?? {};
       }),
     );
+    router.get(
+      TUNNEL_END_PATH,
+      defineEventHandler((event) => ({
+        hasEnded: tunnels?.hasEnded(String(getQuery(event).id)) ?? false,
+      })),
+    );
     const app = createApp();
     app.use(router);
     super(toNodeListener(app));
--- a/packages/fleet/src/tunnel_client.ts
+++ b/packages/fleet/src/tunnel_client.ts
@@ -16,6 +16,10 @@
 /** Header with the outcome of a tunnel that was not established. */
 export const TUNNEL_OUTCOME_HEADER = "limpetshed-tunnel";
 
+/** Header with the id of an established tunnel, by which its helper tells how it
+ * ended. */
+export const TUNNEL_ID_HEADER = "limpetshed-tunnel-id";
+
 /** Options of {@linkcode openTunnel}. */
 export interface OpenTunnelOptions {
   clock: Clock;
@@ -31,7 +35,12 @@
 
 /** Result of {@linkcode openTunnel}. */
 export type TunnelResult =
-  | { outcome: "open"; socket: net.Socket }
+  | {
+    outcome: "open";
+    socket: net.Socket;
+    /** Undefined if the other node does not tell how its tunnels end. */
+    id: string | undefined;
+  }
   | { outcome: Exclude<TunnelOutcome, "open"> };
 
 /** Asks another node for a tunnel to an endpoint; never rejects. */
@@ -62,7 +71,12 @@
       if (head.length > 0) {
         socket.unshift(head);
       }
-      finish({ outcome: "open", socket });
+      const id = res.headers[TUNNEL_ID_HEADER];
+      finish({
+        outcome: "open",
+        socket,
+        id: typeof id === "string" ? id : undefined,
+      });
     });
     req.once("response", (res) => {
       res.destroy();
--- a/packages/fleet/src/tunnel_server.ts
+++ b/packages/fleet/src/tunnel_server.ts
@@ -1,7 +1,13 @@
 import type { IncomingMessage } from "node:http";
 import type * as net from "node:net";
+import { randomUUID } from "node:crypto";
 import { resetConnection, splitHostPort } from "@limpetshed/base";
-import { TUNNEL_OUTCOME_HEADER, type TunnelOutcome } from "./tunnel_client.ts";
+import { LRUCache } from "lru-cache";
+import {
+  TUNNEL_ID_HEADER,
+  TUNNEL_OUTCOME_HEADER,
+  type TunnelOutcome,
+} from "./tunnel_client.ts";
 
 /** Options of {@linkcode TunnelServer}. */
 export interface TunnelServerOptions {
@@ -24,6 +30,8 @@
  * another one of its size. */
 const MAX_TUNNELS = 512;
 const CONNECT_TIMEOUT_MS = 300;
+/** Tunnels whose end is remembered. */
+const MAX_ENDED_TUNNELS = 1_024;
 const REFUSED_CODE = "ECONNREFUSED";
 
 /** Statuses of tunnels that are not established. */
@@ -38,6 +46,8 @@
   readonly #options: TunnelServerOptions;
   readonly #closing = new AbortController();
   readonly #tunnels = new Set<net.Socket>();
+  /** Tunnels that their endpoints ended in order. */
+  readonly #endedIds = new LRUCache<string, true>({ max: MAX_ENDED_TUNNELS });
   #isStopping = false;
 
   constructor(options: TunnelServerOptions) {
@@ -49,6 +59,11 @@
     return this.#tunnels.size;
   }
 
+  /** Whether the endpoint ended the tunnel in order. */
+  hasEnded(id: string): boolean {
+    return this.#endedIds.has(id);
+  }
+
   /** Takes no more tunnels; those that are open stay. */
   stop(): void {
     this.#isStopping = true;
@@ -93,10 +108,11 @@
         return;
       }
       onTunnel("open");
-      caller.write("HTTP/1.1 200 OK\r\n\r\n");
+      const id = randomUUID();
+      caller.write(`HTTP/1.1 200 OK\r\n${TUNNEL_ID_HEADER}: ${id}\r\n\r\n`);
       endpoint.write(head);
       join(caller, endpoint);
-      join(endpoint, caller);
+      join(endpoint, caller, { onEnd: () => this.#endedIds.set(id, true) });
     } catch (err) {
       const { code } = err as NodeJS.ErrnoException;
       this.#refuse(caller, code === REFUSED_CODE ? "refused" : "unreachable");
@@ -119,7 +135,11 @@
 
 /** Passes bytes on with back-pressure, and the way in which `from` ends: an
  * orderly end as such, a reset as a reset. */
-function join(from: net.Socket, to: net.Socket): void {
+function join(
+  from: net.Socket,
+  to: net.Socket,
+  { onEnd = () => undefined }: { onEnd?: () => void } = {},
+): void {
   from.setNoDelay(true);
   from.pipe(to, { end: false });
   from.on("error", () => resetConnection(to));
@@ -129,6 +149,7 @@
     if (from.remoteAddress === undefined) {
       resetConnection(to);
     } else {
+      onEnd();
       to.end();
     }
   });
--- a/packages/fleet_relay/src/peer_tunnels.ts
+++ b/packages/fleet_relay/src/peer_tunnels.ts
@@ -1,7 +1,14 @@
-import type { Socket } from "node:net";
 import type { Clock } from "@limpetshed/base";
-import { openTunnel, type TunnelOutcome } from "@limpetshed/fleet";
-import { HelperTunnels, TunnelError } from "@limpetshed/relay";
+import {
+  askTunnelEnd,
+  openTunnel,
+  type TunnelOutcome,
+} from "@limpetshed/fleet";
+import {
+  type HelperTunnel,
+  HelperTunnels,
+  TunnelError,
+} from "@limpetshed/relay";
 import type { HelperSelector } from "./helper_selector.ts";
 
 /** Options of {@linkcode PeerTunnels}. */
@@ -30,7 +37,7 @@
   async open(
     address: string,
     { signal }: { signal: AbortSignal },
-  ): Promise<Socket> {
+  ): Promise<HelperTunnel> {
     const { clock, ownIp, selector, onTunnel } = this.#options;
     const outcomes: TunnelOutcome[] = [];
     for (const helper of selector.candidates(MAX_HELPERS)) {
@@ -48,7 +55,15 @@
       onTunnel(result.outcome);
       if (result.outcome === "open") {
         selector.recordSuccess(helper.id);
-        return result.socket;
+        const { socket, id } = result;
+        const confirmEnd = () =>
+          id === undefined ? Promise.resolve(false) : askTunnelEnd({
+            clock,
+            helper: helper.callAddress,
+            id,
+            timeoutMs: HELPER_TIMEOUT_MS,
+          });
+        return { socket, confirmEnd };
       }
       selector.recordFailure(helper.id);
       outcomes.push(result.outcome);
--- a/packages/relay/src/crash_guard.ts
+++ b/packages/relay/src/crash_guard.ts
@@ -33,6 +33,12 @@
     return this.#options.suspects.verdict(this.#traits(request));
   }
 
+  /** Resolves to whether the process of an endpoint is known to be there, whether it
+   * leaves or not. */
+  isAlive({ entry }: Endpoint): Promise<boolean> {
+    return this.#options.probe.isAlive(entry.address);
+  }
+
   /** Resolves to whether an endpoint that did not say that it leaves refuses
    * connections. */
   async isDown({ key, entry }: Endpoint): Promise<boolean> {
--- a/packages/relay/src/detour_connector.ts
+++ b/packages/relay/src/detour_connector.ts
@@ -13,6 +13,7 @@
   REFUSED_CODE,
 } from "./endpoint_connector.ts";
 import { type HelperTunnels, TunnelError } from "./helper_tunnels.ts";
+import type { ElsewhereLiveness } from "./liveness_probe.ts";
 
 /** Options of {@linkcode DetourConnector}. */
 export interface DetourConnectorOptions {
@@ -54,19 +55,20 @@
       : this.#connectByHelperFirst(req);
   }
 
-  /** Resolves to whether the endpoint at `ip:port`, which refuses connections of
-   * this node, refuses those of other nodes as well. */
-  async isRefusedElsewhere(address: string): Promise<boolean> {
+  /** Resolves to what other nodes find out about the endpoint at `ip:port`, to which
+   * this node cannot connect. */
+  async livenessElsewhere(address: string): Promise<ElsewhereLiveness> {
     const { tunnels, paths } = this.#options;
     try {
-      const socket = await tunnels.open(address, {
+      const { socket } = await tunnels.open(address, {
         signal: this.#closing.signal,
       });
       socket.destroy();
       paths.recordCut(address);
-      return false;
+      return "alive";
     } catch (err) {
-      return failureOf(err) !== "unreachable";
+      const failure = failureOf(err);
+      return failure === "unreachable" ? "unknown" : failure;
     }
   }
 
@@ -127,8 +129,8 @@
   async #connectByHelper(
     { address, signal }: ConnectRequest,
   ): Promise<OpenedConnection> {
-    const socket = await this.#options.tunnels.open(address, { signal });
-    return { socket, isDetour: true };
+    const tunnel = await this.#options.tunnels.open(address, { signal });
+    return { ...tunnel, isDetour: true };
   }
 
   /** The outcome of `work` if it settles in time. */
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -88,6 +88,7 @@
   #exchangeCount = 0;
   #isClosed = false;
   #isDetour = false;
+  #confirmEnd: () => Promise<boolean> = () => Promise.resolve(true);
 
   constructor(options: EndpointConnectionOptions) {
     this.#options = options;
@@ -128,6 +129,12 @@
     return this.#isDetour;
   }
 
+  /** Resolves to whether the endpoint ended the connection, to be asked after its
+   * end: another node on its way may have ended too. */
+  confirmEnd(): Promise<boolean> {
+    return this.#confirmEnd();
+  }
+
   /** Monotonic time at which the connection was established; infinite before. */
   get openedMs(): number {
     return this.#openedMs;
@@ -189,12 +196,13 @@
   async #openVerified(): Promise<net.Socket> {
     const { address, clock, connectTimeoutMs, connector, verify, maySend } =
       this.#options;
-    const { socket, isDetour } = await connector.connect({
+    const { socket, isDetour, confirmEnd } = await connector.connect({
       address,
       timeoutMs: connectTimeoutMs,
       signal: this.#closing.signal,
     });
     this.#isDetour = isDetour;
+    this.#confirmEnd = confirmEnd ?? this.#confirmEnd;
     this.#openedMs = clock.monotonicMs();
     this.#resets.watch(socket);
     if (verify !== undefined && !await verify(this.#openedMs)) {
--- a/packages/relay/src/endpoint_connector.ts
+++ b/packages/relay/src/endpoint_connector.ts
@@ -15,6 +15,9 @@
   socket: net.Socket;
   /** Whether it leads by way of another node; then it carries one request. */
   isDetour: boolean;
+  /** Resolves to whether the endpoint ended the connection, to be asked after its
+   * end; it did if undefined. */
+  confirmEnd?: () => Promise<boolean>;
 }
 
 /** Code of the error of a connection that the endpoint's system refused. */
--- a/packages/relay/src/endpoint_links.ts
+++ b/packages/relay/src/endpoint_links.ts
@@ -46,7 +46,7 @@
     this.pool = new ConnectionPool({ clock, connector });
     this.livenessProbe = new LivenessProbe({
       clock,
-      isRefusedElsewhere: (address) => connector.isRefusedElsewhere(address),
+      askElsewhere: (address) => connector.livenessElsewhere(address),
     });
   }
 
--- a/packages/relay/src/helper_tunnels.ts
+++ b/packages/relay/src/helper_tunnels.ts
@@ -20,23 +20,31 @@
   }
 }
 
+/** A connection to an endpoint by way of another node. */
+export interface HelperTunnel {
+  /** Without listeners. */
+  socket: net.Socket;
+  /** Resolves to whether the other node vouches that the endpoint ended the
+   * connection, to be asked after its end. */
+  confirmEnd: () => Promise<boolean>;
+}
+
 /** Opens connections to endpoints by way of other nodes. */
 export abstract class HelperTunnels {
   /**
-   * Resolves to an established connection to the endpoint at `ip:port`, without
-   * listeners.
+   * Resolves to an established connection to the endpoint at `ip:port`.
    *
    * @throws TunnelError if there is none.
    */
   abstract open(
     address: string,
     options: { signal: AbortSignal },
-  ): Promise<net.Socket>;
+  ): Promise<HelperTunnel>;
 }
 
 /** The tunnels of a node without others. */
 export class NoTunnels extends HelperTunnels {
-  override open(): Promise<net.Socket> {
+  override open(): Promise<HelperTunnel> {
     return Promise.reject(new TunnelError("no_helper"));
   }
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -37,6 +37,7 @@
   REFUSED_CODE,
 } from "./endpoint_connector.ts";
 export {
+  type HelperTunnel,
   HelperTunnels,
   TunnelError,
   type TunnelFailure,
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -178,7 +178,7 @@
       onSend: (openedMs) => origin.begin(openedMs),
       onFirstEvent: () => origin.pin(),
       onServerError: () => this.#onServerError(request, endpoint),
-      isEndpointDown: () => crashGuard.isDown(endpoint),
+      isEndpointAlive: () => crashGuard.isAlive(endpoint),
       onEndlessDiscard: () =>
         this.#options.outlierDetector.recordConnectionFailure(endpoint.key),
     });
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -218,25 +218,32 @@
     } else if (this.#body?.isTruncated === true) {
       this.#breakOff("the stream ended inside an event", "closed");
     } else if (this.#body?.framing === "close") {
-      void this.#completeIfAlive();
+      void this.#completeIfEndedByEndpoint();
     } else {
       this.#complete();
     }
   }
 
-  /** Completes a response that ended with its connection, unless its endpoint
-   * went down with it: the system closes both kinds of connection alike. */
-  async #completeIfAlive(): Promise<void> {
-    const isDown = await this.#options.isEndpointDown();
-    if (this.#state === "relaying") {
-      if (isDown) {
-        this.#breakOff(
-          "the endpoint went down at the end of its response",
-          "closed",
-        );
-      } else {
-        this.#complete();
-      }
+  /** Completes a response that ended with its connection only if it is known that
+   * the endpoint ended it. The system closes the connections of a process that is
+   * gone alike: of the endpoint, also of one that leaves, or of a node between. */
+  async #completeIfEndedByEndpoint(): Promise<void> {
+    const [isEndConfirmed, isAlive] = await Promise.all([
+      this.#connection.confirmEnd(),
+      this.#options.isEndpointAlive(),
+    ]);
+    if (this.#state !== "relaying") {
+      return;
+    }
+    if (isEndConfirmed && isAlive) {
+      this.#complete();
+    } else {
+      this.#breakOff(
+        isEndConfirmed
+          ? "the endpoint went down at the end of its response"
+          : "no other node vouches for the end of the response",
+        "closed",
+      );
     }
   }
 
--- a/packages/relay/src/send_attempt_options.ts
+++ b/packages/relay/src/send_attempt_options.ts
@@ -62,9 +62,9 @@
   /** Called on a server error of the endpoint; if it returns true, the request
    * is retried and the response is discarded. */
   onServerError: () => boolean;
-  /** Called when a response has ended with its connection; resolves to whether
-   * the endpoint is down though it did not say that it leaves. */
-  isEndpointDown: () => Promise<boolean>;
+  /** Called when a response has ended with its connection; resolves to whether the
+   * process of the endpoint is known to be there. */
+  isEndpointAlive: () => Promise<boolean>;
   /** Called if the body of a response that is not relayed does not end. */
   onEndlessDiscard: () => void;
 }
--- a/packages/relay/tests/broken_off_response_test.ts
+++ b/packages/relay/tests/broken_off_response_test.ts
@@ -240,23 +240,34 @@
       expect(sendCounts()).to.deep.equal(["broken"]);
     });
 
-    it(`completes a ${contentType} response without framing whose endpoint leaves`, async () => {
-      await fixture.start(({ id }, _res, socket) => {
-        const { entry } = fixture.node.registry.get("e1")!;
-        fixture.node.registry.put({ ...entry, state: "leaving" });
-        socket.write(
-          `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signed: 1\r\n` +
-            `content-type: ${contentType}\r\n\r\n${event(1)}`,
-          () => fixture.endpoints[0]!.close(),
-        );
-      });
-      const response = await send("/chat/");
-      expect(response).to.deep.equal({
-        status: 200,
-        body: event(1),
-        isComplete: true,
-      });
-    });
+    // Streams of an endpoint that had said that it leaves, and was gone in their
+    // middle, reached their callers as complete.
+    for (
+      const [name, isGone] of [["is gone", true], ["listens", false]] as const
+    ) {
+      it(
+        `${
+          isGone ? "breaks off" : "completes"
+        } a ${contentType} response without framing whose endpoint leaves and ${name}`,
+        async () => {
+          await fixture.start(({ id }, _res, socket) => {
+            const { entry } = fixture.node.registry.get("e1")!;
+            fixture.node.registry.put({ ...entry, state: "leaving" });
+            socket.write(
+              `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-signed: 1\r\n` +
+                `content-type: ${contentType}\r\n\r\n${event(1)}`,
+              () => isGone ? fixture.endpoints[0]!.close() : socket.end(),
+            );
+          });
+          const response = await send("/chat/");
+          expect(response).to.deep.equal({
+            status: 200,
+            body: event(1),
+            isComplete: !isGone,
+          });
+        },
+      );
+    }
   }
 
   // Callers with HTTP/1.0 take an orderly close for the end of the response.
--- a/packages/relay/tests/liveness_probe_test.ts
+++ b/packages/relay/tests/liveness_probe_test.ts
@@ -44,4 +44,40 @@
     expect(await probe.isRefused(`127.0.0.1:${port}`)).to.equal(false);
     blocked.forEach((socket) => socket.destroy());
   });
+
+  // The system of a process that had ended still took a connection.
+  it("does not take a process for live that closes its port after it connected", async () => {
+    server = net.createServer((socket) => {
+      server.close();
+      socket.destroy();
+    });
+    const address = await listenOn(server, "127.0.0.1:0");
+    expect(await probe.isAlive(address)).to.equal(false);
+  });
+
+  it("takes a process for live that closes connections beyond its limit", async () => {
+    server = net.createServer((socket) => socket.destroy());
+    const address = await listenOn(server, "127.0.0.1:0");
+    expect(await probe.isAlive(address)).to.equal(true);
+  });
+
+  for (
+    const [elsewhere, isAlive] of [
+      ["alive", true],
+      ["refused", false],
+      ["unknown", false],
+      ["no_helper", false],
+    ] as const
+  ) {
+    it(`asks other nodes about a port that it cannot reach: ${elsewhere}`, async () => {
+      const asking = new LivenessProbe({
+        clock: new SystemClock(),
+        askElsewhere: () => Promise.resolve(elsewhere),
+      });
+      server = net.createServer();
+      const address = await listenOn(server, "127.0.0.1:0");
+      await new Promise((resolve) => server.close(resolve));
+      expect(await asking.isAlive(address)).to.equal(isAlive);
+    });
+  }
 });
