fix(relay): abort all requests of a connection when the client closes it

What callers saw: with two requests sent one behind the other, the second ran on at its endpoint for 2.1 to 2.3 s after the client had left (GONE; 24 of 24 as measured from outside).

Cause: a request was aborted at the close of its response, and a response that waits behind another one has no connection whose end it could be told.

Now the closures of connections abort every request on them.

Evidence: the four cases of "closes the endpoint connections of requests sent one behind the other when the client disconnects" failed before (endpoint connection open after 500 ms) and pass now.

Also: the id in a question about a tunnel's end is read as text (lint).

--- a/packages/fleet/src/peer_server.ts
+++ b/packages/fleet/src/peer_server.ts
@@ -97,7 +97,9 @@
     router.get(
       TUNNEL_END_PATH,
       defineEventHandler((event) => ({
-        hasEnded: tunnels?.hasEnded(String(getQuery(event).id)) ?? false,
+        hasEnded:
+          tunnels?.hasEnded(getQuery<{ id?: string }>(event).id ?? "") ??
+            false,
       })),
     );
     const app = createApp();
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -11,6 +11,7 @@
   type RouteTable,
 } from "@limpetshed/routing";
 import { createApp, defineEventHandler, toNodeListener } from "h3";
+import { ConnectionClosures } from "./connection_closures.ts";
 import { stoppingError } from "./forward_errors.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import { lazyFingerprint } from "./lazy_fingerprint.ts";
@@ -63,6 +64,7 @@
   readonly #writers = new Set<ResponseWriter>();
   /** Aborts of the requests that are not answered yet. */
   readonly #aborts = new Set<(reason: AbortReason) => void>();
+  readonly #closures = new ConnectionClosures();
   readonly #startedMs: number;
 
   constructor(options: RelayServerOptions) {
@@ -161,7 +163,7 @@
         abort("caller_gone");
       }
     };
-    res.once("close", onClose);
+    const forgetClosure = this.#closures.add(req.socket, onClose);
     this.#aborts.add(abort);
     let request: RelayRequest | undefined;
     try {
@@ -179,7 +181,7 @@
       });
       throw err;
     } finally {
-      res.off("close", onClose);
+      forgetClosure();
       this.#aborts.delete(abort);
     }
   }
--- a/packages/relay/tests/relay_test.ts
+++ b/packages/relay/tests/relay_test.ts
@@ -1,5 +1,7 @@
 import { once } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import * as net from "node:net";
+import { splitHostPort } from "@limpetshed/base";
 import { expect } from "chai";
 import { afterEach, beforeEach, describe, it } from "mocha";
 import {
@@ -12,6 +14,8 @@
   respond,
 } from "./relay_fixture.ts";
 
+/** Time in which the end of a client must reach endpoints. */
+const CLOSE_TIMEOUT_MS = 500;
 const STREAM_HEADERS = { "content-type": "text/event-stream", "x-signed": "1" };
 
 function writeStreamHead(request: ReceivedRequest, res: ServerResponse): void {
@@ -310,6 +314,30 @@
     await fixture.endpoints[0]!.requests[0]!.closed;
   });
 
+  // A request behind another one on the same connection ran on to its end after its
+  // client had left.
+  for (const path of ["/safe/", "/unsafe/", "/chat/", "/resume/"]) {
+    it(`closes the endpoint connections of requests sent one behind the other when the client disconnects: ${path}`, async () => {
+      await fixture.start(() => undefined, () => undefined);
+      const socket = net.connect(splitHostPort(fixture.address));
+      socket.on("error", () => undefined);
+      for (const id of ["r1", "r2"]) {
+        socket.write(
+          `POST ${path} HTTP/1.1\r\nhost: 127.0.0.1\r\nauthorization: k\r\nx-id: ${id}\r\n` +
+            "content-length: 0\r\n\r\n",
+        );
+      }
+      const received = () =>
+        fixture.endpoints.flatMap(({ requests }) => requests);
+      while (received().length < 2) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+      }
+      socket.resetAndDestroy();
+      await Promise.all(received().map(({ closed }) => closed));
+      expect(received()).to.have.length(2);
+    }).timeout(CLOSE_TIMEOUT_MS);
+  }
+
   it("responds with 504 at the route's timeout", async () => {
     await fixture.start(() => undefined);
     fixture.configure(2, 100);
