fix(relay): take events without end in linear time and bounded, whatever their type

Cause: each chunk copied and searched all that was held of the event: 4,096 passes over up to 256 KiB. A resumable response of another type than text/event-stream had no bound but its deadline.

Now bytes are appended to a buffer that doubles and only the last ones are searched; what is held is bounded whatever the type says.

--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -185,12 +185,16 @@
       return;
     }
     this.#body?.push(chunk);
-    if ((this.#body?.openEventBytes ?? 0) > MAX_EVENT_BYTES) {
+    const { framer, writer } = this.#options;
+    const bytes = framer === undefined ? chunk : framer.push(chunk);
+    const openEventBytes = Math.max(
+      this.#body?.openEventBytes ?? 0,
+      framer?.openEventBytes ?? 0,
+    );
+    if (openEventBytes > MAX_EVENT_BYTES) {
       this.#breakOff(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
       return;
     }
-    const { framer, writer } = this.#options;
-    const bytes = framer === undefined ? chunk : framer.push(chunk);
     if (framer?.isOutOfOrder === true) {
       this.#breakOff("the events do not follow those before");
       return;
--- a/packages/relay/src/sse_boundary_tracker.ts
+++ b/packages/relay/src/sse_boundary_tracker.ts
@@ -1,7 +1,7 @@
 import { Buffer } from "node:buffer";
 
 /** Bytes kept to find an event end that is split between two chunks. */
-const TAIL_BYTES = 3;
+export const TAIL_BYTES = 3;
 
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
--- a/packages/relay/src/sse_framer.ts
+++ b/packages/relay/src/sse_framer.ts
@@ -1,6 +1,7 @@
 import { Buffer } from "node:buffer";
 import { EventNumbering } from "./event_numbering.ts";
-import { lastEventEnd } from "./sse_boundary_tracker.ts";
+import { GrowingBuffer } from "./growing_buffer.ts";
+import { lastEventEnd, TAIL_BYTES } from "./sse_boundary_tracker.ts";
 
 const ID_LINE = /(?:^|[\r\n])id: ?([^\r\n]*)/g;
 const EMPTY = Buffer.alloc(0);
@@ -11,7 +12,7 @@
  * a complete event. Withholds events that do not follow those before.
  */
 export class SseFramer {
-  #partial: Buffer = EMPTY;
+  readonly #partial = new GrowingBuffer();
   #lastEventId: string | undefined;
   #isOutOfOrder = false;
   readonly #numbering: EventNumbering;
@@ -33,18 +34,17 @@
     return this.#lastEventId;
   }
 
+  /** Bytes of the incomplete event. */
+  get openEventBytes(): number {
+    return this.#partial.length;
+  }
+
   /** Appends received bytes; returns the events that are now complete. */
   push(chunk: Buffer): Buffer {
-    const data = this.#partial.length === 0
-      ? chunk
-      : Buffer.concat([this.#partial, chunk]);
-    const end = lastEventEnd(data);
-    if (end < 0) {
-      this.#partial = data;
+    const complete = this.#takeComplete(chunk);
+    if (complete.length === 0) {
       return EMPTY;
     }
-    this.#partial = data.subarray(end);
-    const complete = data.subarray(0, end);
     const ids = [...complete.toString("latin1").matchAll(ID_LINE)]
       .map(([, id]) => id ?? "");
     if (this.#isOutOfOrder || !this.#numbering.accept(ids)) {
@@ -58,16 +58,36 @@
   /** Returns and clears the buffered bytes; called when the response is
    * complete. */
   flush(): Buffer {
-    const partial = this.#partial;
-    this.#partial = EMPTY;
-    return partial;
+    return this.#partial.take();
   }
 
   /** Discards the incomplete event before another endpoint resumes the
    * stream. */
   beginContinuation(): void {
-    this.#partial = EMPTY;
+    this.#partial.take();
     this.#isOutOfOrder = false;
     this.#numbering.beginContinuation();
   }
+
+  /** Returns the bytes up to the end of the last complete event and keeps those
+   * behind it. Searches only bytes that were not searched before. */
+  #takeComplete(chunk: Buffer): Buffer {
+    const heldBytes = this.#partial.length;
+    let data = chunk;
+    let end: number;
+    if (heldBytes === 0) {
+      end = lastEventEnd(chunk);
+    } else {
+      this.#partial.append(chunk);
+      const searchStart = Math.max(0, heldBytes - TAIL_BYTES);
+      end = lastEventEnd(this.#partial.tail(searchStart));
+      if (end < 0) {
+        return EMPTY;
+      }
+      end += searchStart;
+      data = this.#partial.take();
+    }
+    this.#partial.append(data.subarray(Math.max(0, end)));
+    return data.subarray(0, Math.max(0, end));
+  }
 }
--- a/packages/relay/tests/endless_response_test.ts
+++ b/packages/relay/tests/endless_response_test.ts
@@ -201,6 +201,19 @@
     });
   }
 
+  // What was kept of a resumable response that says it is no stream had no bound.
+  it("is cut off on a resumable route if no event ends and it is no stream", async () => {
+    const handler = endless(
+      signedHead("content-type: application/json"),
+      CHUNK,
+    );
+    await start(handler, handler);
+    const startMs = performance.now();
+    const { isComplete } = await sendBounded("/resume/a");
+    expect(isComplete).to.equal(false);
+    expect(performance.now() - startMs).to.be.below(ROUTE_TIMEOUT_MS);
+  });
+
   for (const [status, fields] of [[503, "x-not-run: 1\r\n"], [500, ""]]) {
     for (const [pace, intervalMs] of [["fast", 0], ["slow", 20]] as const) {
       it(`is not read on after status ${status}, ${pace}`, async () => {
