--- a/packages/relay/tests/sse_framer_test.ts
+++ b/packages/relay/tests/sse_framer_test.ts
@@ -40,7 +40,7 @@
           const split = new SseFramer();
           const received: Buffer[] = [];
           for (let from = 0; from < data.length;) {
-            const size = sizes.next().value;
+            const { value: size } = sizes.next() as IteratorYieldResult<number>;
             received.push(
               Buffer.from(split.push(data.subarray(from, from + size))),
             );
