refactor(relay): shorten, and log when a held configuration comes into force

A starting node logged a configuration as held, but not that it came into force. The bytes held of an event are asked of the framer, or of the body where there is none, instead of both.

--- a/packages/fleet_relay/src/config_intake.ts
+++ b/packages/fleet_relay/src/config_intake.ts
@@ -90,8 +90,8 @@
     );
     this.#isAsking = false;
     this.#isHolding = false;
-    if (this.#newest !== undefined && !this.#abortController.signal.aborted) {
-      this.#options.config.applyIfNewer(this.#newest.config);
+    if (!this.#abortController.signal.aborted) {
+      this.#applyNewest();
     }
   }
 
@@ -100,6 +100,16 @@
     this.#abortController.abort();
   }
 
+  #applyNewest(): void {
+    const { config, logger } = this.#options;
+    if (
+      this.#newest !== undefined && config.applyIfNewer(this.#newest.config)
+    ) {
+      const { version } = config;
+      logger.info({ event: "config", outcome: "in_force", version });
+    }
+  }
+
   #selectPeers(): string[] {
     const { directory, seeds, ownAddress, rng } = this.#options;
     const known = directory.peers().map(({ callAddress }) => callAddress);
--- a/packages/mirror/src/change_source.ts
+++ b/packages/mirror/src/change_source.ts
@@ -90,7 +90,8 @@
 /** Reads what has changed without waiting for a change. */
 export interface ChangeReader {
   /** Resolves with a snapshot of all keys, whatever class is asked for, if a later
-   * era than that of `after` has begun. Each call uses a connection on which no other call waits. Rejects if the
-   * source is unreachable; has no time limit but `signal`. */
+   * era than that of `after` has begun. Each call uses a connection on which no
+   * other call waits. Rejects if the source is unreachable; has no time limit but
+   * `signal`. */
   read(options: ReadChangesOptions): Promise<ChangeBatch | Snapshot>;
 }
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -115,10 +115,7 @@
     { result, writer }: { result: SendResult; writer: ResponseWriter },
   ): boolean {
     const { outcome } = result;
-    if (outcome === "failed") {
-      return true;
-    }
-    return this.#options.retryGuard.tryRetry(request, {
+    return outcome === "failed" || this.#options.retryGuard.tryRetry(request, {
       outcome,
       counts: request.counts,
       receivedAttempts: request.receivedAttempts,
@@ -140,9 +137,8 @@
   }> {
     const { endpointLoads, pool, format, clock, crashGuard, registry, view } =
       this.#options;
-    const { endpoint, copyFrom, candidates } = this.#chooseEndpointOrThrow(
-      request,
-    );
+    const choice = this.#chooseEndpointOrThrow(request);
+    const { endpoint, copyFrom, candidates } = choice;
     const load = endpointLoads.totalInFlight(endpoint.key);
     const origin = new AttemptOrigin({ ...this.#options, request, endpoint });
     const attempt = new SendAttempt({
@@ -259,8 +255,9 @@
 
   #recordCompleted({ route, account, requestId }: RelayRequest): void {
     if (route.resumable) {
-      const key = streamKey(account, requestId);
-      this.#options.streamOrigins.recordCompleted(key);
+      this.#options.streamOrigins.recordCompleted(
+        streamKey(account, requestId),
+      );
     }
   }
 
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -187,10 +187,7 @@
     this.#body?.push(chunk);
     const { framer, writer } = this.#options;
     const bytes = framer === undefined ? chunk : framer.push(chunk);
-    const openEventBytes = Math.max(
-      this.#body?.openEventBytes ?? 0,
-      framer?.openEventBytes ?? 0,
-    );
+    const { openEventBytes = 0 } = framer ?? this.#body ?? {};
     if (openEventBytes > MAX_EVENT_BYTES) {
       this.#breakOff(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
       return;
