--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -11,7 +11,11 @@
   ConnectionPool,
   type ConnectionPoolOptions,
 } from "./connection_pool.ts";
-export { RelayServer, type RelayServerOptions } from "./relay_server.ts";
+export {
+  MAX_PARSER_HEADER_BYTES,
+  RelayServer,
+  type RelayServerOptions,
+} from "./relay_server.ts";
 export type { RelayRequest } from "./relay_request.ts";
 export { RelayObserver, type SendRecord } from "./relay_observer.ts";
 export type { SendResult } from "./send_result.ts";
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -43,7 +43,7 @@
 }
 
 /** Hard limit of the HTTP parser; the configured limit is checked afterwards. */
-const MAX_PARSER_HEADER_BYTES = 65_536;
+export const MAX_PARSER_HEADER_BYTES = 65_536;
 /** Interval at which connections are checked for a header timeout. */
 const HEADER_TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Added to the configured timeouts, so that the server does not close a
--- a/scripts/bundle_node.js
+++ b/scripts/bundle_node.js
@@ -61,6 +61,9 @@
   ]),
 );
 
+// Its entry for Node.js loads its parts in a way that cannot be bundled.
+alias["jsonc-parser"] = `${ROOT}node_modules/jsonc-parser/lib/esm/main.js`;
+
 /** Compiles all functions of the bundle into a code cache. */
 function makeCodeCache() {
   // The flag decides only what is compiled now. It is set back before the cache
