feat: version rollouts, decided by the fleet

Cause: an order to move a service's traffic to endpoints of another software version was read by nobody, so a bad version got as many requests as its endpoints could take, and nobody went back.

Change: a gate before the choice of endpoints, which each node bounds by its own counts; evidence exchanged as a datagram kind of its own; a verdict that compares both versions on the same routes in the same time; statuses written under a condition on the revisions of order and status. Nothing is sent or written while no service has an order.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -72,6 +72,8 @@
   tried: ReadonlySet<string>;
   /** Software version at which the request has to go on, if it has begun. */
   version?: string;
+  /** Which endpoints may take the request; all if undefined. */
+  isEligible?: (endpoint: Endpoint) => boolean;
   /** Properties of the request that the overload guard uses. */
   overloadInput: Pick<
     OverloadRequest,
@@ -222,12 +224,17 @@
       });
   }
 
-  #usable({ spec: { name }, version }: ChoiceRequest): readonly Endpoint[] {
+  #usable(
+    { spec: { name }, version, isEligible }: ChoiceRequest,
+  ): readonly Endpoint[] {
     const { registry, versions } = this.#options;
-    return version === undefined ? registry.usable(name) : registry.usableWhere(
-      name,
-      (endpoint) => versions.versionOf(endpoint) === version,
-    );
+    const usable = version === undefined
+      ? registry.usable(name)
+      : registry.usableWhere(
+        name,
+        (endpoint) => versions.versionOf(endpoint) === version,
+      );
+    return isEligible === undefined ? usable : usable.filter(isEligible);
   }
 
   /** Excludes endpoints whose limits leave this node no request. If all others
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -108,3 +108,19 @@
   type PrefixCacheRecoveryOptions,
   recoverPrefixCache,
 } from "./prefix_cache_recovery.ts";
+export type {
+  AnswerCell,
+  ExposureLimits,
+  RolloutOrder,
+  RolloutReport,
+  RolloutState,
+  RolloutStatus,
+} from "./rollout_report.ts";
+export { GatedChooser, VersionGate } from "./version_gate.ts";
+export {
+  type RolloutChange,
+  type VersionAnswer,
+  VersionRollouts,
+  type VersionRolloutsOptions,
+  type WantedStatus,
+} from "./version_rollouts.ts";
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -61,3 +61,17 @@
   type StoreConnectivity,
   type WatcherCandidate,
 } from "./choose_watchers.ts";
+export {
+  decodeRolloutMessage,
+  encodeRolloutMessage,
+  type RolloutCellEntry,
+  type RolloutReportEntry,
+} from "./rollout_message.ts";
+export {
+  type ConditionalStore,
+  type ConditionalWrite,
+  RolloutStatusWriter,
+  type RolloutStatusWriterOptions,
+  type StatusWish,
+} from "./rollout_status_writer.ts";
+export { FANOUT, ROUND_INTERVAL_MS } from "./broadcast_schedule.ts";
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -22,7 +22,6 @@
   MetricsServer,
   type OwnResponse,
   RelayNode,
-  TelemetryObserver,
   type WireFormat,
 } from "@limpetshed/relay";
 import type { RoutingConfig } from "@limpetshed/routing";
@@ -30,6 +29,11 @@
 import { makeStateHandlers } from "./make_state_handlers.ts";
 import { NodeTunnels } from "./node_tunnels.ts";
 import { PlacementRecovery } from "./placement_recovery.ts";
+import {
+  RolloutCoordination,
+  type RolloutStore,
+} from "./rollout_coordination.ts";
+import { RolloutObserver } from "./rollout_observer.ts";
 import { StateApplication, type StateTargets } from "./state_application.ts";
 import { StateReplica } from "./state_replica.ts";
 import { updateGauges } from "./update_gauges.ts";
@@ -55,6 +59,8 @@
   connector?: EndpointConnector;
   /** Where the store keeps the versions of streams. */
   streamStore: Pick<StreamLogOptions, "store" | "batchPrefix" | "markKey">;
+  /** Where the store keeps rollouts. */
+  rolloutStore: RolloutStore;
   /** Decodes a configuration as it is stored; throws if it is none. */
   decodeConfig: (text: string) => RoutingConfig;
   /** Subscribes the components to changes of shared state. */
@@ -89,6 +95,7 @@
   readonly #loadExchange: LoadExchange;
   readonly #registration: NodeRegistration;
   readonly #streamRecords: StreamRecords;
+  readonly #rollouts: RolloutCoordination;
   readonly #stateApplication: StateApplication;
   readonly #housekeeping: RepeatingTask;
   #graceMs: number;
@@ -151,6 +158,15 @@
       era: () => this.#state.mirror.era,
       send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
     });
+    this.#rollouts = new RolloutCoordination({
+      ...options,
+      ...settings,
+      rollouts: this.#node.versionRollouts,
+      directory: this.#directory,
+      writerId: () => this.#state.sourceSelector.fleetWriterId,
+      era: () => this.#state.mirror.era,
+      send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
+    });
     this.#registration = new NodeRegistration({
       clock,
       logger,
@@ -210,6 +226,7 @@
       this.#loadExchange.close(),
       this.#registration.close(),
       this.#streamRecords.close(),
+      this.#rollouts.close(),
       this.#housekeeping.close(),
     ]);
   }
@@ -224,11 +241,12 @@
       nodeIds: () => this.#directory.nodeIds(),
       peerTimeoutMs: () => this.#directory.livenessTimeoutMs,
       format,
-      observer: new TelemetryObserver({
+      observer: new RolloutObserver({
         clock,
         logger,
         metrics,
         stateAgeMs: () => this.#state.ageMs,
+        onAnswer: (answer) => this.#node.versionRollouts.recordAnswer(answer),
       }),
       directConnector: this.#directConnector,
       tunnels: this.#tunnels.asked,
@@ -249,6 +267,7 @@
         }),
       retryLimits: settings.retryLimits,
       coldLimits: settings.coldLimits,
+      exposureLimits: settings.exposureLimits,
       readinessPath,
       random: () => this.#rng.fraction(),
     });
@@ -293,7 +312,11 @@
       position: () => this.#state.mirror.position,
       storeConnectivity: () => this.#state.sourceSelector.storeConnectivity,
       ...makeStateHandlers(this.#node),
-      onOtherDatagram: (data) => this.#streamRecords.sharing.receive(data),
+      onOtherDatagram: (data) => {
+        if (!this.#rollouts.receive(data)) {
+          this.#streamRecords.sharing.receive(data);
+        }
+      },
     });
   }
 }
--- a/packages/fleet_relay/src/fleet_relay_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -1,4 +1,8 @@
-import type { ColdStartLimits, RetryLimits } from "@limpetshed/dispatch";
+import type {
+  ColdStartLimits,
+  ExposureLimits,
+  RetryLimits,
+} from "@limpetshed/dispatch";
 
 /** Startup settings of a fleet node. */
 export interface FleetRelaySettings {
@@ -36,6 +40,9 @@
   /** Limits on requests to a cold endpoint: one that has started recently and
    * cannot serve its full rate yet. */
   coldLimits: ColdStartLimits;
+  /** Bounds on what the target of a rollout may get before it is known to be
+   * good. */
+  exposureLimits?: ExposureLimits;
   /** Time within which a change of shared state must be in force, milliseconds. */
   propagationMs: number;
 }
--- a/packages/fleet_relay/src/index.ts
+++ b/packages/fleet_relay/src/index.ts
@@ -11,3 +11,4 @@
   StateSourceSelector,
   type StateSourceSelectorOptions,
 } from "./state_source_selector.ts";
+export type { RolloutStore } from "./rollout_coordination.ts";
--- a/packages/fleet_relay/src/state_application.ts
+++ b/packages/fleet_relay/src/state_application.ts
@@ -16,7 +16,11 @@
   mirror: KeyMirror;
   node: Pick<
     RelayNode,
-    "config" | "registry" | "streamOrigins" | "serviceVersions"
+    | "config"
+    | "registry"
+    | "streamOrigins"
+    | "serviceVersions"
+    | "versionRollouts"
   >;
   configIntake: Pick<ConfigIntake, "offer">;
   /** Delays changes that may be older than what is known. */
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -78,6 +78,11 @@
     ["origin"],
     "Streams that clients resume, by how it was found where they began.",
   ),
+  limpetshed_rollout_steps_total: row(
+    "counter",
+    ["step"],
+    "Steps of version rollouts at this node.",
+  ),
   limpetshed_path_changes_total: row(
     "counter",
     ["path"],
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -12,7 +12,7 @@
   type ConnectionPoolOptions,
 } from "./connection_pool.ts";
 export { RelayServer, type RelayServerOptions } from "./relay_server.ts";
-export type { RelayRequest } from "./relay_request.ts";
+export type { AbortReason, RelayRequest } from "./relay_request.ts";
 export { RelayObserver, type SendRecord } from "./relay_observer.ts";
 export type { SendResult } from "./send_result.ts";
 export { parseRetryAfter } from "./parse_retry_after.ts";
--- a/packages/relay/src/make_chooser.ts
+++ b/packages/relay/src/make_chooser.ts
@@ -1,9 +1,11 @@
 import type { Clock } from "@limpetshed/base";
 import {
   type AccountLoads,
-  EndpointChooser,
+  type EndpointChooser,
   type EndpointChooserOptions,
+  GatedChooser,
   OverloadGuard,
+  type VersionGate,
 } from "@limpetshed/dispatch";
 import type { ConnectionPool } from "./connection_pool.ts";
 
@@ -15,6 +17,7 @@
   > {
   clock: Clock;
   accounts: AccountLoads;
+  gate: VersionGate;
   pool: Pick<ConnectionPool, "openCount">;
   /** Ids of all nodes that may be running, including this one. */
   nodeIds: () => readonly string[];
@@ -29,7 +32,7 @@
 export function makeChooser(
   { accounts, pool, nodeIds, ...options }: MakeChooserOptions,
 ): EndpointChooser {
-  return new EndpointChooser({
+  return new GatedChooser({
     ...options,
     overloadGuard: new OverloadGuard({
       loads: options.loads,
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -11,6 +11,7 @@
   type EndpointPolicy,
   EndpointRegistry,
   EndpointRests,
+  type ExposureLimits,
   LoadTracker,
   OutlierDetector,
   PrefixCacheIndex,
@@ -19,6 +20,7 @@
   ServiceLatency,
   ServiceVersions,
   StreamOrigins,
+  VersionRollouts,
 } from "@limpetshed/dispatch";
 import type { Logger } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
@@ -70,6 +72,8 @@
   /** Limits on requests to a cold endpoint: one that has started recently and
    * cannot serve its full rate yet. */
   coldLimits: ColdStartLimits;
+  /** Bounds on what the target of a rollout may get; none if undefined. */
+  exposureLimits?: ExposureLimits;
   readinessPath: string;
   /** Returns a number in `[0, 1)`, drawn once per request to pick a weighted
    * target. */
@@ -99,6 +103,7 @@
   /** Where streams began that clients may resume. */
   readonly streamOrigins: StreamOrigins;
   readonly serviceVersions: ServiceVersions;
+  readonly versionRollouts: VersionRollouts;
   readonly endpointLinks: EndpointLinks;
   readonly #options: RelayNodeOptions & { view: StateView };
   readonly #outlierDetector: OutlierDetector;
@@ -177,6 +182,13 @@
       clock,
       registry: this.registry,
     });
+    this.versionRollouts = new VersionRollouts({
+      ...options,
+      registry: this.registry,
+      loads: this.endpointLoads,
+      limits: options.exposureLimits ?? { share: 0, slack: 0 },
+      onChange: (change) => options.observer.rolloutChanged(change),
+    });
     this.#server = new RelayServer({
       clock,
       config: this.config,
@@ -310,6 +322,7 @@
       loads: endpointLoads,
       latency: this.#serviceLatency,
       accounts: this.#accountLoads,
+      gate: this.versionRollouts,
       pool: this.endpointLinks.pool,
       nodeIds,
     });
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -3,6 +3,7 @@
   NoChoice,
   PathState,
   RetryUsage,
+  RolloutChange,
   SendOutcome,
 } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
@@ -61,6 +62,9 @@
   /** The origin of a stream that a client resumes was found or not. */
   abstract originResolved(lookup: OriginLookup): void;
 
+  /** The rollout of a service has gone on. */
+  abstract rolloutChanged(change: RolloutChange): void;
+
   /** A response has been relayed completely. */
   abstract responseCompleted(request: RelayRequest, durationMs: number): void;
 
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -3,6 +3,7 @@
   NoChoice,
   PathState,
   RetryUsage,
+  RolloutChange,
   SendOutcome,
 } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
@@ -171,6 +172,18 @@
     this.#metrics.count("limpetshed_path_changes_total", { path: state });
   }
 
+  rolloutChanged({ order, step, exposed }: RolloutChange): void {
+    this.#metrics.count("limpetshed_rollout_steps_total", { step });
+    this.#logger.info({
+      event: "rollout",
+      outcome: step,
+      service: order.service,
+      target: order.target,
+      orderRevision: order.revision,
+      exposed,
+    });
+  }
+
   originResolved(
     { source, requestId, firstRequestId, versions, waitedMs, viewAgeMs }:
       OriginLookup,
