fix(rollouts): endpoints in trouble of their own don't condemn a version

Cause: with a few endpoints for the canary, two of them dark at once made a good version look bad; and reports of all cells five times a second to ten nodes were some 130 kB/s a node.

Change: a second test leaves out the worst third of the groups of endpoints, the canary goes to six, and a node reports each second round and passes on to three nodes only.

--- a/packages/dispatch/src/canary_endpoints.ts
+++ b/packages/dispatch/src/canary_endpoints.ts
@@ -1,8 +1,8 @@
 import type { Endpoint } from "./endpoint_registry.ts";
 
-/** Endpoints that requests go to at least, so that one in trouble of its own can be
- * told from a bad version. */
-const MIN_ENDPOINTS = 4;
+/** Endpoints that requests go to at least, so that some in trouble of their own can
+ * be told from a bad version. */
+const MIN_ENDPOINTS = 6;
 
 /** Keys of a part of the target's endpoints, the same ones at all nodes: so few that
  * the load of a few requests shows something. */
--- a/packages/dispatch/src/rollout_verdict.ts
+++ b/packages/dispatch/src/rollout_verdict.ts
@@ -35,6 +35,8 @@
 const NOTHING: Count = { hits: 0, total: 0 };
 /** Rate of trouble below which versions aren't told apart. */
 const MIN_RATE = 0.01;
+/** Part of the groups that may be in trouble while the version is good. */
+const SPARED_PART = 1 / 3;
 /** Answers of the old version from which on it can be compared with. */
 const MIN_COMPARABLE = 20;
 /** Rate of trouble that is expected where there is nothing to compare with. */
@@ -127,23 +129,18 @@
 }
 
 /** Chance of what the groups show. The rest must show it too without the worst
- * group, whose endpoints may be in trouble of their own; half as clearly, since it
+ * groups, whose endpoints may be in trouble of their own; half as clearly, since it
  * is less. */
 function chance({ rate, groups }: Trouble): number {
   const counts = [...groups.values()].filter(({ total }) => total > 0);
-  const all = add(counts);
-  const overall = tailBound(all, rate);
+  const overall = tailBound(add(counts), rate);
   if (counts.length < 2 || overall >= DOUBT_CHANCE) {
     return overall;
   }
-  const worst = counts.reduce((found, count) =>
-    excess(count, rate) > excess(found, rate) ? count : found
-  );
-  const rest = tailBound({
-    hits: all.hits - worst.hits,
-    total: all.total - worst.total,
-  }, rate);
-  return Math.max(overall, rest ** 2);
+  const rest = counts
+    .sort((a, b) => excess(b, rate) - excess(a, rate))
+    .slice(Math.ceil(SPARED_PART * counts.length));
+  return Math.max(overall, tailBound(add(rest), rate) ** 2);
 }
 
 function excess({ hits, total }: Count, rate: number): number {
--- a/packages/dispatch/src/version_gate.ts
+++ b/packages/dispatch/src/version_gate.ts
@@ -43,7 +43,9 @@
     });
     let choice: Choice = { refusal: "none_in_service" };
     for (const isEligible of filters) {
-      choice = super.choose({ ...req, isEligible });
+      choice = super.choose(
+        isEligible === undefined ? req : { ...req, isEligible },
+      );
       if (!("refusal" in choice)) {
         this.#gate.recordSent(choice.endpoint);
         break;
--- a/packages/dispatch/src/version_rollout.ts
+++ b/packages/dispatch/src/version_rollout.ts
@@ -64,8 +64,9 @@
 
 /** Time in which a node that starts learns what the others know. */
 const CATCH_UP_MS = 2_000;
-/** Time for which what a node said holds; three rounds to all of a large fleet. */
-const HEARD_WITHIN_MS = 3_000;
+/** Time for which what a node said holds: a node of a large fleet says something to
+ * each other one within four seconds. */
+const HEARD_WITHIN_MS = 5_000;
 const ENDPOINT_GROUPS = 8n;
 
 /** One rollout, as one node takes part in it. */
--- a/packages/dispatch/tests/support/rollout_fleet.ts
+++ b/packages/dispatch/tests/support/rollout_fleet.ts
@@ -45,6 +45,8 @@
 const STEP_MS = 20;
 const ROUND_MS = 200;
 const FANOUT = 10;
+const ROUNDS_PER_REPORT = 2;
+const PASSING_FANOUT = 2;
 const NEWS_DELAY_MS = 300;
 export const LIMITS = { share: 0.1, slack: 50 };
 
@@ -239,12 +241,18 @@
       if (isDown) {
         continue;
       }
-      rollouts.tick();
+      const isUrgent = rollouts.tick();
+      if (!isUrgent && this.#round % ROUNDS_PER_REPORT !== 0) {
+        this.#write(rollouts);
+        continue;
+      }
       const passedOn = rollouts.otherReports();
       const reports = rollouts.reports(id);
-      for (let step = 1; step <= FANOUT; step += 1) {
-        const offset = this.#round * FANOUT + step;
-        const to = this.nodes[(place + offset) % this.nodes.length]!;
+      const fanout = isUrgent ? this.nodes.length : FANOUT;
+      for (let step = 1; step <= fanout; step += 1) {
+        const offset = this.#round / ROUNDS_PER_REPORT * FANOUT + step;
+        const to = this
+          .nodes[(place + Math.floor(offset)) % this.nodes.length]!;
         if (to.id === id || this.#rng.fraction() < this.lostReports) {
           continue;
         }
@@ -252,7 +260,10 @@
           to.rollouts.merge(report, { isDirect: true })
         );
         const other = passedOn[this.#round % Math.max(1, passedOn.length)];
-        if (other !== undefined && other.source !== to.id) {
+        if (
+          other !== undefined && other.source !== to.id &&
+          step <= PASSING_FANOUT
+        ) {
           to.rollouts.merge(other, { isDirect: false });
         }
       }
--- a/packages/fleet_relay/src/rollout_coordination.ts
+++ b/packages/fleet_relay/src/rollout_coordination.ts
@@ -39,6 +39,13 @@
   send: (address: string, datagrams: readonly Buffer[]) => void;
 }
 
+/** Rounds between two reports of this node: half the traffic, and all nodes of a
+ * large fleet hear within four seconds. */
+const ROUNDS_PER_REPORT = 2;
+/** Rounds between two reports that are passed on, and nodes that they go to. */
+const ROUNDS_PER_PASSING = 4;
+const PASSING_FANOUT = 3;
+
 /** Carries rollouts on: exchanges evidence with the other nodes and writes what the
  * fleet decides. Idle while no service has an order. */
 export class RolloutCoordination {
@@ -46,8 +53,8 @@
   readonly #writer: RolloutStatusWriter;
   readonly #source: string;
   readonly #loop: RepeatingTask;
+  #round = 0;
   #targetOffset = 0;
-  #passedOn = 0;
 
   constructor(options: RolloutCoordinationOptions) {
     this.#options = options;
@@ -89,36 +96,46 @@
       return;
     }
     const hasStopped = rollouts.tick();
-    this.#exchange({ isUrgent: hasStopped });
+    this.#round += 1;
+    if (hasStopped || this.#round % ROUNDS_PER_REPORT === 0) {
+      this.#report({ isUrgent: hasStopped });
+    }
+    if (this.#round % ROUNDS_PER_PASSING === 0) {
+      this.#passOn();
+    }
     this.#writer.update(
       rollouts.wantedStatuses().map((wanted) => this.#toWish(wanted)),
     );
   }
 
-  /** Sends this node's reports and those of one other node; to all at once if they
-   * are urgent. */
-  #exchange({ isUrgent }: { isUrgent: boolean }): void {
-    const { rollouts, directory, send } = this.#options;
-    const others = rollouts.otherReports();
-    this.#passedOn += 1;
-    const passedOn = others.length === 0
-      ? []
-      : [others[this.#passedOn % others.length]!];
-    const datagrams = [
-      ...rollouts.reports(this.#source).flatMap((report) =>
+  /** Sends this node's reports; to all at once if they are urgent. */
+  #report({ isUrgent }: { isUrgent: boolean }): void {
+    const { rollouts, directory } = this.#options;
+    this.#sendToNext(
+      isUrgent ? directory.peers().length : FANOUT,
+      rollouts.reports(this.#source).flatMap((report) =>
         encodeRolloutMessage(report, { isDirect: true })
       ),
-      ...passedOn.flatMap((report) =>
-        encodeRolloutMessage(report, { isDirect: false })
-      ),
-    ];
-    const peers = directory.peers();
-    const count = isUrgent ? peers.length : Math.min(FANOUT, peers.length);
-    for (let index = 0; index < count; index += 1) {
-      const place = (this.#targetOffset + index) % peers.length;
-      send(peers[place]!.datagramAddress, datagrams);
+    );
+  }
+
+  /** Sends the reports of one other node, which may be dead. */
+  #passOn(): void {
+    const others = this.#options.rollouts.otherReports();
+    const report = others[this.#round / ROUNDS_PER_PASSING % others.length];
+    if (report !== undefined) {
+      const datagrams = encodeRolloutMessage(report, { isDirect: false });
+      this.#sendToNext(PASSING_FANOUT, datagrams);
+    }
+  }
+
+  #sendToNext(count: number, datagrams: readonly Buffer[]): void {
+    const peers = this.#options.directory.peers();
+    for (let sent = 0; sent < Math.min(count, peers.length); sent += 1) {
+      const { datagramAddress } = peers[this.#targetOffset % peers.length]!;
+      this.#options.send(datagramAddress, datagrams);
+      this.#targetOffset += 1;
     }
-    this.#targetOffset += count;
   }
 
   #toWish(wanted: WantedStatus) {
