fix(rollouts): streams at endpoints that leave keep a rollout from its end

Cause: requests in flight at old endpoints that leave or whose zone is out weren't counted, though these endpoints end with the rollout as well.

Change: all known endpoints of other versions are counted. The trial uses 0.8 of the bound, as what endpoints got before a node knew of the order isn't counted.

--- a/packages/dispatch/src/version_rollout.ts
+++ b/packages/dispatch/src/version_rollout.ts
@@ -41,6 +41,8 @@
   ageMs: number | undefined;
   /** Endpoints of the service that accept requests. */
   usable: () => readonly Endpoint[];
+  /** All endpoints of the service. */
+  known: () => readonly Endpoint[];
   /** This node's requests in flight at an endpoint. */
   inFlight: (endpointKey: string) => number;
   /** Returns a number in `[0, 1)`. */
@@ -56,7 +58,7 @@
 
 /** Parts of the exposure bound that are used. */
 const CANARY_EXPOSURE = 0.5;
-const TRIAL_EXPOSURE = 0.85;
+const TRIAL_EXPOSURE = 0.8;
 /** Part of the requests offered to the target before it is committed to. */
 const OFFERED_PART = 0.5;
 /** Slots of the target that are enough, as a part of those of the others. */
@@ -129,7 +131,7 @@
     // What a node finds ended as it starts may have ended long ago: the endpoints
     // beside the target's may be of a later version.
     if (this.#isCaughtUp()) {
-      this.#endedKeys = new Set(this.#others().map(({ key }) => key));
+      this.#endedKeys = new Set(this.#knownOthers().map(({ key }) => key));
     }
   }
 
@@ -312,8 +314,13 @@
       .filter((endpoint) => !this.isTarget(endpoint));
   }
 
+  /** Those, and the ones that leave: what they have in flight ends as well. */
+  #knownOthers(): Endpoint[] {
+    return this.#options.known().filter((endpoint) => !this.isTarget(endpoint));
+  }
+
   #otherInFlight(): number {
-    return this.#others()
+    return this.#knownOthers()
       .reduce((sum, { key }) => sum + this.#options.inFlight(key), 0);
   }
 
--- a/packages/dispatch/src/version_rollouts.ts
+++ b/packages/dispatch/src/version_rollouts.ts
@@ -18,7 +18,7 @@
 /** Options of {@linkcode VersionRollouts}. */
 export interface VersionRolloutsOptions {
   clock: Clock;
-  registry: Pick<EndpointRegistry, "usable">;
+  registry: Pick<EndpointRegistry, "usable" | "serviceEndpoints">;
   loads: Pick<LoadTracker, "localInFlight">;
   limits: ExposureLimits;
   nodeId: string;
@@ -99,7 +99,7 @@
       this.#rememberBad(known);
     }
     this.#badVersions.get(service)?.delete(order.target);
-    const { loads } = this.#options;
+    const { loads, registry } = this.#options;
     this.#rollouts.set(
       service,
       new VersionRollout({
@@ -107,6 +107,7 @@
         order,
         ageMs,
         usable: () => this.#usable(service),
+        known: () => registry.serviceEndpoints(service),
         inFlight: (key) => loads.localInFlight(key),
       }),
     );
--- a/packages/dispatch/tests/version_rollouts_test.ts
+++ b/packages/dispatch/tests/version_rollouts_test.ts
@@ -168,6 +168,25 @@
     expect(fleet.sentByVersion.get("v3")).to.be.above(1_000);
   });
 
+  it("sends retries to the old version, and streams to their own", async () => {
+    const fleet = new RolloutFleet({ nodes: 1, answer: GOOD });
+    fleet.orderVersion();
+    await fleet.run(2);
+    const { rollouts } = fleet.nodes[0]!;
+    const isAllowed = (
+      version: string,
+      request: { version: string | undefined; isRetry: boolean },
+    ) =>
+      rollouts.filters({ service: "model", ...request })
+        .some((filter) => filter?.(fleet.endpointOf(version)) ?? true);
+    const retry = { version: undefined, isRetry: true };
+    expect(isAllowed("v1", retry)).to.equal(true);
+    expect(isAllowed("v2", retry)).to.equal(false);
+    for (const version of ["v1", "v2"]) {
+      expect(isAllowed(version, { version, isRetry: true })).to.equal(true);
+    }
+  });
+
   it("lets all requests pass without an order", () => {
     const { rollouts } = new RolloutFleet({ nodes: 1, answer: GOOD }).nodes[0]!;
     expect(rollouts.isIdle).to.equal(true);
