fix: one account of the memory that a node holds for its clients

Each body was bounded, but not all of them together, and each chunk was kept as it came: a chunk of one byte took several hundred bytes.

An account sized from the machine's memory is charged for each body while it arrives and until its request ends. When it is full, bodies that stopped growing give way, the largest and slowest first; small requests have a part of their own. Small chunks are copied together, and at most two bodies at a time may come in many of them. A body that does not move gets 408, a refusal for memory 503, both not run. Connections of clients are bounded by the machine's file descriptors: a new one takes the place of the one that waits longest for its client. After a refusal at most 1 MiB is read, for 500 ms.

--- a/packages/errors/src/error_kinds.ts
+++ b/packages/errors/src/error_kinds.ts
@@ -5,6 +5,7 @@
 export type ErrorKind =
   | "admission_refused"
   | "answer_incomplete"
+  | "body_stalled"
   | "body_too_large"
   | "caller_cancelled"
   | "call_in_progress"
@@ -23,6 +24,7 @@
   | "idempotency_key_reused"
   | "internal"
   | "invalid_request"
+  | "memory_full"
   | "no_endpoint"
   | "node_not_ready"
   | "not_found"
@@ -32,6 +34,7 @@
   | "queue_full"
   | "settings_invalid"
   | "share_exhausted"
+  | "small_chunks"
   | "store_outcome_unknown"
   | "store_unavailable"
   | "stream_origin_unknown"
@@ -54,6 +57,7 @@
 export const ERROR_RESPONSES: Readonly<Record<ErrorKind, ErrorResponse>> = {
   admission_refused: { status: 503, run: "not-run", retryable: true },
   answer_incomplete: { status: 502, run: "may-have-run", retryable: true },
+  body_stalled: { status: 408, run: "not-run", retryable: true },
   body_too_large: { status: 413, run: "not-run", retryable: false },
   caller_cancelled: { status: 499, run: "may-have-run", retryable: false },
   call_in_progress: { status: 409, run: "may-have-run", retryable: true },
@@ -76,6 +80,7 @@
   idempotency_key_reused: { status: 422, run: "not-run", retryable: false },
   internal: { status: 500, run: "may-have-run", retryable: false },
   invalid_request: { status: 400, run: "not-run", retryable: false },
+  memory_full: { status: 503, run: "not-run", retryable: true },
   no_endpoint: { status: 503, run: "not-run", retryable: true },
   node_not_ready: { status: 503, run: "not-run", retryable: true },
   not_found: { status: 404, run: "not-run", retryable: false },
@@ -85,6 +90,7 @@
   queue_full: { status: 429, run: "not-run", retryable: true },
   settings_invalid: { status: 500, run: "not-run", retryable: false },
   share_exhausted: { status: 429, run: "not-run", retryable: true },
+  small_chunks: { status: 503, run: "not-run", retryable: true },
   store_outcome_unknown: { status: 503, run: "may-have-run", retryable: true },
   store_unavailable: { status: 503, run: "not-run", retryable: true },
   stream_origin_unknown: { status: 503, run: "not-run", retryable: true },
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -247,6 +247,7 @@
           loadMultiple: settings.loadMultiple,
           findEndpoint: (key) => registry.getByKey(key),
         }),
+      machine: settings.machine,
       retryLimits: settings.retryLimits,
       coldLimits: settings.coldLimits,
       readinessPath,
--- a/packages/fleet_relay/src/fleet_relay_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -1,4 +1,5 @@
 import type { ColdStartLimits, RetryLimits } from "@limpetshed/dispatch";
+import type { MachineLimits } from "@limpetshed/relay";
 
 /** Startup settings of a fleet node. */
 export interface FleetRelaySettings {
@@ -25,6 +26,8 @@
   seeds: readonly string[];
   /** Whether the whole fleet starts for the first time. */
   isFirstStart: boolean;
+  /** What the node's machine has; defaults if undefined. */
+  machine?: MachineLimits;
   /** Grace period of a planned stop, milliseconds. */
   graceMs: number;
   /** Time for which a leaving endpoint still accepts requests, milliseconds; none
--- a/packages/fleet_relay/src/update_gauges.ts
+++ b/packages/fleet_relay/src/update_gauges.ts
@@ -18,6 +18,10 @@
 ): void {
   metrics.gauge("limpetshed_log_lines_dropped", droppedLogLines);
   metrics.gauge("limpetshed_in_flight", node.inFlight);
+  const { memory, connections } = node.clientResources;
+  metrics.gauge("limpetshed_held_bytes", memory.heldBytes);
+  metrics.gauge("limpetshed_client_connections", connections.openCount);
+  metrics.gauge("limpetshed_connections_shed", connections.shedCount);
   metrics.gauge("limpetshed_config_version", node.config.version);
   metrics.gauge("limpetshed_state_revision", state.mirror.asOf);
   metrics.gauge("limpetshed_store_era", state.mirror.era);
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -119,6 +119,21 @@
     "Time from the arrival of a request to the end of its response.",
   ),
   limpetshed_in_flight: row("gauge", [], "Requests in flight."),
+  limpetshed_held_bytes: row(
+    "gauge",
+    [],
+    "Memory charged for what is held of requests of clients, bytes.",
+  ),
+  limpetshed_client_connections: row(
+    "gauge",
+    [],
+    "Open connections of clients.",
+  ),
+  limpetshed_connections_shed: row(
+    "gauge",
+    [],
+    "Connections of clients closed since process start to make room for others.",
+  ),
   limpetshed_config_version: row("gauge", [], "Active configuration version."),
   limpetshed_state_revision: row("gauge", [], "Revision of the shared state."),
   limpetshed_store_era: row(
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -47,4 +47,8 @@
   StreamOriginResolver,
   type StreamOriginResolverOptions,
 } from "./stream_origin_resolver.ts";
+export {
+  DEFAULT_MACHINE_LIMITS,
+  type MachineLimits,
+} from "./client_resources.ts";
 export { MetricsServer } from "./metrics_server.ts";
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -22,6 +22,11 @@
 } from "@limpetshed/dispatch";
 import type { Logger } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
+import {
+  ClientResources,
+  DEFAULT_MACHINE_LIMITS,
+  type MachineLimits,
+} from "./client_resources.ts";
 import { ChangeLogger } from "./change_logger.ts";
 import { makeChooser } from "./make_chooser.ts";
 import { makeCrashSuspects } from "./make_crash_suspects.ts";
@@ -56,6 +61,8 @@
   /** Time without a message from another node after which what it said last no
    * longer holds. */
   peerTimeoutMs: () => number;
+  /** What this node's machine has; bounds what is held for clients. */
+  machine?: MachineLimits;
   format: WireFormat;
   observer: RelayObserver;
   /** How current this node's view of the shared state is; always current if
@@ -100,6 +107,7 @@
   readonly streamOrigins: StreamOrigins;
   readonly serviceVersions: ServiceVersions;
   readonly endpointLinks: EndpointLinks;
+  readonly clientResources: ClientResources;
   readonly #options: RelayNodeOptions & { view: StateView };
   readonly #outlierDetector: OutlierDetector;
   readonly #serviceLatency = new ServiceLatency();
@@ -111,8 +119,13 @@
   readonly #shutdown: GracefulShutdown;
 
   constructor(options: RelayNodeOptions) {
-    const { clock, view = ALWAYS_CONFIRMED } = options;
+    const {
+      clock,
+      view = ALWAYS_CONFIRMED,
+      machine = DEFAULT_MACHINE_LIMITS,
+    } = options;
     this.#options = { ...options, view };
+    this.clientResources = new ClientResources({ clock, machine });
     this.#shutdown = new GracefulShutdown({ clock });
     const changes = new ChangeLogger(options);
     this.endpointLoads = new LoadTracker({ clock });
@@ -184,6 +197,7 @@
       forwarder: this.#makeForwarder(),
       observer: options.observer,
       shutdown: this.#shutdown,
+      resources: this.clientResources,
       originResolver: new StreamOriginResolver({
         clock,
         origins: this.streamOrigins,
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -1,27 +1,33 @@
 import * as http from "node:http";
 import { type Clock, listenOn } from "@limpetshed/base";
 import { promptTraits } from "@limpetshed/dispatch";
-import { RouterError, toRouterError } from "@limpetshed/errors";
+import { toRouterError } from "@limpetshed/errors";
 import {
-  type ClientAccount,
   type CurrentConfig,
   pickTarget,
   type RequestLimits,
-  type Route,
-  type RouteTable,
 } from "@limpetshed/routing";
 import { createApp, defineEventHandler, toNodeListener } from "h3";
+import {
+  checkHeaderSize,
+  findAccount,
+  findRoute,
+  notReadyError,
+  parseResumption,
+} from "./accept_request.ts";
+import type { ClientResources } from "./client_resources.ts";
 import { ConnectionClosures } from "./connection_closures.ts";
 import { stoppingError } from "./forward_errors.ts";
 import type { GracefulShutdown } from "./graceful_shutdown.ts";
 import { lazyFingerprint } from "./lazy_fingerprint.ts";
+import type { MemoryClaim } from "./memory_budget.ts";
 import { readBody } from "./read_body.ts";
+import { refuseUnread } from "./refuse_unread.ts";
 import type { RelayObserver } from "./relay_observer.ts";
 import {
   type AbortReason,
   initialProgress,
   type RelayRequest,
-  type StreamResumption,
 } from "./relay_request.ts";
 import type { RequestForwarder } from "./request_forwarder.ts";
 import { ResponseWriter } from "./response_writer.ts";
@@ -37,6 +43,7 @@
   observer: RelayObserver;
   shutdown: GracefulShutdown;
   originResolver: StreamOriginResolver;
+  resources: ClientResources;
   /** Returns a number in `[0, 1)`, drawn once per request to pick a weighted
    * target. */
   random: () => number;
@@ -49,12 +56,6 @@
 /** Added to the configured timeouts, so that the server does not close a
  * connection that a client is still allowed to use. */
 const TIMEOUT_MARGIN_MS = 1_000;
-/** Bounds of `retry-after` before the first configuration is loaded. Within
- * them it equals the uptime: the remaining loading time is estimated to be as
- * long as the time already spent. */
-const MIN_NOT_READY_RETRY_AFTER_MS = 300;
-const MAX_NOT_READY_RETRY_AFTER_MS = 2_000;
-
 /** HTTP server that authenticates and routes client requests and hands them to
  * the forwarder. */
 export class RelayServer {
@@ -80,6 +81,10 @@
       requestTimeout: 0,
       noDelay: true,
     }, toNodeListener(app));
+    this.#server.on(
+      "connection",
+      (socket) => options.resources.connections.add(socket),
+    );
     options.config.onChange((table) => this.#applyLimits(table.limits));
   }
 
@@ -139,8 +144,20 @@
     } catch (thrown) {
       const err = toRouterError(thrown);
       const requestId = metadata.requestId;
-      if (err.kind !== "caller_cancelled") {
-        writer.sendError(err, { requestId, closeConnection: !req.complete });
+      if (err.kind === "caller_cancelled") {
+        return;
+      }
+      if (req.complete) {
+        writer.sendError(err, { requestId });
+      } else {
+        refuseUnread(err, {
+          clock: this.#options.clock,
+          closures: this.#closures,
+          req,
+          res,
+          writer,
+          requestId,
+        });
       }
     }
   }
@@ -154,7 +171,7 @@
       metadata: RequestMetadata;
     },
   ): Promise<void> {
-    const { clock, observer } = this.#options;
+    const { clock, observer, resources } = this.#options;
     const arrivedMs = clock.monotonicMs();
     const controller = new AbortController();
     const abort = (reason: AbortReason) => controller.abort(reason);
@@ -165,10 +182,18 @@
     };
     const forgetClosure = this.#closures.add(req.socket, onClose);
     this.#aborts.add(abort);
+    const claim = resources.memory.open();
+    let endUse = () => {};
     let request: RelayRequest | undefined;
     try {
       const { signal } = controller;
-      request = await this.#acceptRequest(req, { metadata, arrivedMs, signal });
+      request = await this.#acceptRequest(req, {
+        metadata,
+        arrivedMs,
+        signal,
+        claim,
+      });
+      endUse = resources.connections.begin(req.socket);
       await this.#forward(request, { writer, abort });
       observer.responseCompleted(request, clock.monotonicMs() - arrivedMs);
     } catch (thrown) {
@@ -182,6 +207,8 @@
       throw err;
     } finally {
       forgetClosure();
+      claim.close();
+      endUse();
       this.#aborts.delete(abort);
     }
   }
@@ -190,13 +217,14 @@
    * reads its body. */
   async #acceptRequest(
     req: http.IncomingMessage,
-    { metadata, arrivedMs, signal }: {
+    { metadata, arrivedMs, signal, claim }: {
       metadata: RequestMetadata;
       arrivedMs: number;
       signal: AbortSignal;
+      claim: MemoryClaim;
     },
   ): Promise<RelayRequest> {
-    const { config, shutdown, random } = this.#options;
+    const { clock, config, resources, shutdown, random } = this.#options;
     const { table } = config;
     if (table === undefined) {
       throw notReadyError(arrivedMs - this.#startedMs);
@@ -207,7 +235,13 @@
     if (!shutdown.accepts(route)) {
       throw stoppingError();
     }
-    const body = await readBody(req, { maxBytes: table.limits.maxBodyBytes });
+    const body = await readBody(req, {
+      clock,
+      maxBytes: table.limits.maxBodyBytes,
+      stallMs: table.limits.idleTimeoutMs + TIMEOUT_MARGIN_MS,
+      resources,
+      claim,
+    });
     const resumption = parseResumption(metadata, route);
     const origin = resumption === undefined
       ? undefined
@@ -274,63 +308,3 @@
     }
   }
 }
-
-/** A client that names only one of the two ids resumes a stream as well: it has
- * received some of it. */
-function parseResumption(
-  { lastEventId, resumedRequestId }: RequestMetadata,
-  { kind }: Route,
-): StreamResumption | undefined {
-  return kind === "stream" &&
-      (lastEventId !== undefined || resumedRequestId !== undefined)
-    ? { firstRequestId: resumedRequestId, lastEventId }
-    : undefined;
-}
-
-function notReadyError(uptimeMs: number): RouterError {
-  return new RouterError("node_not_ready", "no configuration is known yet", {
-    retryAfterMs: Math.min(
-      MAX_NOT_READY_RETRY_AFTER_MS,
-      Math.max(MIN_NOT_READY_RETRY_AFTER_MS, uptimeMs),
-    ),
-  });
-}
-
-function checkHeaderSize(
-  req: http.IncomingMessage,
-  { maxHeaderBytes }: RequestLimits,
-): void {
-  // Adds two bytes per name for `: `, and two per value for CRLF.
-  const bytes = req.rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
-  if (bytes > maxHeaderBytes) {
-    throw new RouterError(
-      "headers_too_large",
-      `the headers are larger than ${maxHeaderBytes} bytes`,
-    );
-  }
-}
-
-function findRoute(req: http.IncomingMessage, table: RouteTable): Route {
-  const url = req.url ?? "/";
-  const queryStart = url.indexOf("?");
-  const path = queryStart < 0 ? url : url.slice(0, queryStart);
-  const route = table.findRoute(req.headers.host ?? "", path);
-  if (route === undefined) {
-    throw new RouterError("not_found", "no route for this host and path");
-  }
-  return route;
-}
-
-function findAccount(
-  { apiKey }: RequestMetadata,
-  { route, table }: { route: Route; table: RouteTable },
-): ClientAccount | undefined {
-  if (!table.requiresApiKeys) {
-    return undefined;
-  }
-  const account = apiKey === undefined ? undefined : table.account(apiKey);
-  if (account === undefined && !route.isPublic) {
-    throw new RouterError("unauthenticated", "the key is missing or unknown");
-  }
-  return account;
-}
--- a/packages/relay/src/response_writer.ts
+++ b/packages/relay/src/response_writer.ts
@@ -104,12 +104,14 @@
     abortResponse(this.#res);
   }
 
-  /** Responds with an error, or aborts if the response has already started. */
+  /** Responds with an error, or aborts if the response has already started. With
+   * `keepOpen` the caller ends the response, after which its connection closes. */
   sendError(
     err: RouterError,
-    { requestId, closeConnection = false }: {
+    { requestId, closeConnection = false, keepOpen = false }: {
       requestId?: string;
       closeConnection?: boolean;
+      keepOpen?: boolean;
     } = {},
   ): void {
     if (this.isHeadSent || !this.isWritable) {
@@ -128,6 +130,10 @@
       this.#res.shouldKeepAlive = false;
     }
     this.#res.writeHead(err.status, headers);
-    this.#res.end(body);
+    if (keepOpen) {
+      this.#res.write(body);
+    } else {
+      this.#res.end(body);
+    }
   }
 }
