feat: unread responses are charged to the account of memory

A client that does not read its response makes the node hold what its connection does not take; it is charged until the connection drains, and the response is broken off when others need the memory. Gauges show the bytes held, what gave way, and the connections of clients.

--- a/packages/fleet_relay/src/update_gauges.ts
+++ b/packages/fleet_relay/src/update_gauges.ts
@@ -20,6 +20,7 @@
   metrics.gauge("limpetshed_in_flight", node.inFlight);
   const { memory, connections } = node.clientResources;
   metrics.gauge("limpetshed_held_bytes", memory.heldBytes);
+  metrics.gauge("limpetshed_memory_evictions", memory.evictionCount);
   metrics.gauge("limpetshed_client_connections", connections.openCount);
   metrics.gauge("limpetshed_connections_shed", connections.shedCount);
   metrics.gauge("limpetshed_config_version", node.config.version);
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -122,7 +122,12 @@
   limpetshed_held_bytes: row(
     "gauge",
     [],
-    "Memory charged for what is held of requests of clients, bytes.",
+    "Memory charged for bodies of requests and unread responses, bytes.",
+  ),
+  limpetshed_memory_evictions: row(
+    "gauge",
+    [],
+    "Bodies and unread responses given up since process start to make room for others.",
   ),
   limpetshed_client_connections: row(
     "gauge",
--- a/packages/relay/src/memory_budget.ts
+++ b/packages/relay/src/memory_budget.ts
@@ -54,11 +54,17 @@
     if (!this.#budget.makeRoom(this, bytes)) {
       return false;
     }
-    this.#bytes += bytes;
-    this.#changedMs = this.#budget.charge(this, bytes);
+    this.#record(bytes);
     return true;
   }
 
+  /** Charges bytes that are held already. Others give way for them as far as they
+   * can; beyond that the capacity is exceeded, and nothing new is let in. */
+  charge(bytes: number): void {
+    this.#budget.makeRoom(this, bytes);
+    this.#record(bytes);
+  }
+
   /** Gives all bytes back. Idempotent. */
   close(): void {
     const bytes = this.#bytes;
@@ -73,6 +79,11 @@
     this.close();
     evict?.();
   }
+
+  #record(bytes: number): void {
+    this.#bytes += bytes;
+    this.#changedMs = this.#budget.charge(this, bytes);
+  }
 }
 
 /**
@@ -89,6 +100,7 @@
   readonly #stalledMs: number;
   readonly #claims = new Set<MemoryClaim>();
   #heldBytes = 0;
+  #evictionCount = 0;
 
   constructor(
     {
@@ -111,6 +123,11 @@
     return this.#heldBytes;
   }
 
+  /** Number of claims that gave way to others since the start. */
+  get evictionCount(): number {
+    return this.#evictionCount;
+  }
+
   /** Opens a claim that holds nothing yet. */
   open(): MemoryClaim {
     return new MemoryClaim(this);
@@ -137,12 +154,13 @@
       if (victim === undefined) {
         return false;
       }
+      this.#evictionCount += 1;
       victim.evict();
     }
     return true;
   }
 
-  /** Records growth that {@linkcode makeRoom} allowed; returns the time. */
+  /** Records growth; returns the time. */
   charge(claim: MemoryClaim, bytes: number): number {
     this.#heldBytes += bytes;
     this.#claims.add(claim);
--- a/packages/relay/src/relay_server.ts
+++ b/packages/relay/src/relay_server.ts
@@ -135,6 +135,7 @@
     const writer = new ResponseWriter({
       res,
       isStopping: () => this.#options.shutdown.isStopping,
+      memory: this.#options.resources.memory,
     });
     const metadata = this.#options.format.parseRequest(req.headers);
     this.#writers.add(writer);
--- a/packages/relay/src/response_writer.ts
+++ b/packages/relay/src/response_writer.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import { abortResponse } from "@limpetshed/base";
 import { errorBody, type RouterError } from "@limpetshed/errors";
+import type { MemoryBudget, MemoryClaim } from "./memory_budget.ts";
 
 const OK_STATUS = 200;
 
@@ -10,6 +11,8 @@
   res: ServerResponse;
   /** Whether this node is shutting down; responses then disable keep-alive. */
   isStopping: () => boolean;
+  /** Charged for what the client does not read; not charged if undefined. */
+  memory?: MemoryBudget;
 }
 
 /** Writes the response to a client: a relayed response, an error, or an abort
@@ -20,9 +23,13 @@
   #unflushedWrites = 0;
   #isEnding = false;
   #isEventStream = false;
+  readonly #memory: MemoryBudget | undefined;
+  /** Bytes that wait for the client. */
+  #unread: MemoryClaim | undefined;
 
-  constructor({ res, isStopping }: ResponseWriterOptions) {
+  constructor({ res, isStopping, memory }: ResponseWriterOptions) {
     this.#res = res;
+    this.#memory = memory;
     this.#isStopping = isStopping;
     res.sendDate = false;
   }
@@ -66,12 +73,40 @@
    * should pause until `onDrain`. */
   write(chunk: Buffer): boolean {
     this.#unflushedWrites += 1;
-    return this.#res.write(chunk, () => {
+    const hasRoom = this.#res.write(chunk, () => {
       this.#unflushedWrites -= 1;
       if (this.#isEnding && this.#unflushedWrites === 0) {
         this.#res.end();
       }
     });
+    if (!hasRoom) {
+      this.#chargeUnread();
+    }
+    return hasRoom;
+  }
+
+  /** Charges what waits for a slow reader, whose response is cut off when the memory
+   * is needed for others. */
+  #chargeUnread(): void {
+    if (this.#memory === undefined) {
+      return;
+    }
+    let unread = this.#unread;
+    if (unread === undefined) {
+      unread = this.#memory.open();
+      this.#unread = unread;
+      const release = () => {
+        this.#unread?.close();
+        this.#unread = undefined;
+        this.#res.off("drain", release).off("close", release);
+      };
+      unread.onEvict(() => {
+        release();
+        this.abort();
+      });
+      this.#res.once("drain", release).once("close", release);
+    }
+    unread.charge(Math.max(0, this.#res.writableLength - unread.bytes));
   }
 
   /** Calls `fn` once the write buffer has drained. */
