--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -265,6 +265,7 @@
           loadMultiple: settings.loadMultiple,
           findEndpoint: (key) => registry.getByKey(key),
         }),
+      machine: settings.machine,
       retryLimits: settings.retryLimits,
       coldLimits: settings.coldLimits,
       exposureLimits: settings.exposureLimits,
--- a/packages/fleet_relay/src/fleet_relay_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -3,6 +3,7 @@
   ExposureLimits,
   RetryLimits,
 } from "@limpetshed/dispatch";
+import type { MachineLimits } from "@limpetshed/relay";
 
 /** Startup settings of a fleet node. */
 export interface FleetRelaySettings {
@@ -29,6 +30,8 @@
   seeds: readonly string[];
   /** Whether the whole fleet starts for the first time. */
   isFirstStart: boolean;
+  /** What the node's machine has; defaults if undefined. */
+  machine?: MachineLimits;
   /** Grace period of a planned stop, milliseconds. */
   graceMs: number;
   /** Time for which a leaving endpoint still accepts requests, milliseconds; none
