fleet_relay: share in the zone what endpoints say of their speed

Cause: one node among 36 or 95 hears of an endpoint every ten seconds or so.

Change: nodes of a zone pass their reports on each half second to up to ten others, one datagram of at most 1,200 bytes, over up to four rounds. Builds that do not know it pass over it; none is sent while no endpoint reports a speed.

Tests of the sharing, of malformed datagrams, and that other decoders pass over them.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -50,7 +50,11 @@
 } from "./deferred_removals.ts";
 export { chooseSpread, type SpreadOptions } from "./choose_spread.ts";
 export type { EndpointLoad } from "./endpoint_load.ts";
-export { EndpointSpeeds, type SpeedEstimate } from "./endpoint_speeds.ts";
+export {
+  EndpointSpeeds,
+  type SpeedEstimate,
+  type SpeedReport,
+} from "./endpoint_speeds.ts";
 export type { EndpointEntry } from "./endpoint_entry.ts";
 export {
   EndpointPaths,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,12 @@
   LoadExchange,
   type LoadExchangeOptions,
 } from "./load_exchange.ts";
+export { FANOUT, roundsToReachAll } from "./broadcast_schedule.ts";
+export {
+  decodeSpeedMessage,
+  encodeSpeedMessage,
+  type SpeedEntry,
+} from "./speed_message.ts";
 export { decodeUpdate } from "./decode_update.ts";
 export {
   decodeLimitMessage,
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -33,6 +33,7 @@
 import { StateApplication, type StateTargets } from "./state_application.ts";
 import { StateReplica } from "./state_replica.ts";
 import { updateGauges } from "./update_gauges.ts";
+import { SpeedSharing } from "./speed_sharing.ts";
 import { StreamRecords } from "./stream_records.ts";
 
 /** Options of {@linkcode FleetRelay}. */
@@ -89,6 +90,7 @@
   readonly #loadExchange: LoadExchange;
   readonly #registration: NodeRegistration;
   readonly #streamRecords: StreamRecords;
+  readonly #speedSharing: SpeedSharing;
   readonly #stateApplication: StateApplication;
   readonly #housekeeping: RepeatingTask;
   #graceMs: number;
@@ -151,6 +153,15 @@
       era: () => this.#state.mirror.era,
       send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
     });
+    this.#speedSharing = new SpeedSharing({
+      clock,
+      logger,
+      availabilityZone: settings.availabilityZone,
+      directory: this.#directory,
+      speeds: this.#node.endpointLoads.speeds,
+      isEndpoint: (key) => this.#node.registry.getByKey(key) !== undefined,
+      send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
+    });
     this.#registration = new NodeRegistration({
       clock,
       logger,
@@ -210,6 +221,7 @@
       this.#loadExchange.close(),
       this.#registration.close(),
       this.#streamRecords.close(),
+      this.#speedSharing.close(),
       this.#housekeeping.close(),
     ]);
   }
@@ -294,7 +306,11 @@
       position: () => this.#state.mirror.position,
       storeConnectivity: () => this.#state.sourceSelector.storeConnectivity,
       ...makeStateHandlers(this.#node),
-      onOtherDatagram: (data) => this.#streamRecords.sharing.receive(data),
+      onOtherDatagram: (data) => {
+        if (!this.#speedSharing.receive(data)) {
+          this.#streamRecords.sharing.receive(data);
+        }
+      },
     });
   }
 }
