--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -37,6 +37,7 @@
 import { StateApplication, type StateTargets } from "./state_application.ts";
 import { StateReplica } from "./state_replica.ts";
 import { updateGauges } from "./update_gauges.ts";
+import { SpeedSharing } from "./speed_sharing.ts";
 import { StreamRecords } from "./stream_records.ts";
 
 /** Options of {@linkcode FleetRelay}. */
@@ -96,6 +97,7 @@
   readonly #registration: NodeRegistration;
   readonly #streamRecords: StreamRecords;
   readonly #rollouts: RolloutCoordination;
+  readonly #speedSharing: SpeedSharing;
   readonly #stateApplication: StateApplication;
   readonly #housekeeping: RepeatingTask;
   #graceMs: number;
@@ -167,6 +169,15 @@
       era: () => this.#state.mirror.era,
       send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
     });
+    this.#speedSharing = new SpeedSharing({
+      clock,
+      logger,
+      availabilityZone: settings.availabilityZone,
+      directory: this.#directory,
+      speeds: this.#node.endpointLoads.speeds,
+      isEndpoint: (key) => this.#node.registry.getByKey(key) !== undefined,
+      send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
+    });
     this.#registration = new NodeRegistration({
       clock,
       logger,
@@ -227,6 +238,7 @@
       this.#registration.close(),
       this.#streamRecords.close(),
       this.#rollouts.close(),
+      this.#speedSharing.close(),
       this.#housekeeping.close(),
     ]);
   }
@@ -264,6 +276,7 @@
           availabilityZone: settings.availabilityZone,
           loadMultiple: settings.loadMultiple,
           findEndpoint: (key) => registry.getByKey(key),
+          random: () => this.#rng.fraction(),
         }),
       machine: settings.machine,
       retryLimits: settings.retryLimits,
@@ -314,7 +327,9 @@
       storeConnectivity: () => this.#state.sourceSelector.storeConnectivity,
       ...makeStateHandlers(this.#node),
       onOtherDatagram: (data) => {
-        if (!this.#rollouts.receive(data)) {
+        const isKnown = this.#rollouts.receive(data) ||
+          this.#speedSharing.receive(data);
+        if (!isKnown) {
           this.#streamRecords.sharing.receive(data);
         }
       },
