feat(dispatch): judge services with fewer slots than nodes as a whole

Cause: with 18 slots behind 36 nodes, what a node knows of an endpoint's load is older than most requests last. Nodes that saw the same old loads chose the same endpoint, full ones were taken for half full, and callers who were refused came back when their target had passed.

Change: if a service has fewer slots than the fleet has nodes, the wait is estimated from the requests in flight at all its endpoints and an execution time that is measured apart from waiting. Refusals (`scarce_slots`) and the endpoint are drawn at random, so that nodes do not act alike; refused callers may come back before their target has passed, urgent ones first. `AttemptTracker` is split out of `RequestForwarder`.

--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -16,6 +16,7 @@
   OverloadRequest,
 } from "./overload_guard.ts";
 import { RestRefusals } from "./rest_refusals.ts";
+import { hasScarceSlots } from "./scarce_slots.ts";
 import type { ServiceLatency } from "./service_latency.ts";
 import type { PromptInfo } from "./prompt_info.ts";
 import type { ServiceVersions } from "./service_versions.ts";
@@ -49,6 +50,9 @@
   refusal: NoChoiceReason;
   /** Expected time until the request may succeed, milliseconds, if known. */
   waitMs?: number;
+  /** Time after which the caller may come back, milliseconds, if it differs from
+   * `waitMs`. */
+  retryAfterMs?: number;
   /** What the request has in common with others that crashed endpoints. */
   trait?: string;
 }
@@ -263,15 +267,19 @@
   /** Applies the overload guard to first attempts only: a request that was
    * already sent to an endpoint is no longer shed. */
   #admit(
-    { spec, tried, overloadInput }: ChoiceRequest,
+    { spec, prompt, tried, overloadInput }: ChoiceRequest,
     candidates: readonly Endpoint[],
   ): Admission {
+    const { overloadGuard, registry, nodeCount } = this.#options;
+    const isScarce = prompt === undefined &&
+      hasScarceSlots(registry.usable(spec.name), nodeCount());
     return tried.size > 0
-      ? { endpoints: candidates }
-      : this.#options.overloadGuard.admit({
+      ? { endpoints: overloadGuard.readmit(candidates, isScarce) }
+      : overloadGuard.admit({
         service: spec.name,
         ...overloadInput,
         candidates,
+        isScarce,
       });
   }
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -102,6 +102,14 @@
   type RetryUsage,
 } from "./retry_budget.ts";
 export { SlidingWindowCounter } from "./sliding_window_counter.ts";
+export { type ExecutedRequest, ExecutionTimes } from "./execution_times.ts";
+export {
+  hasScarceSlots,
+  type ScarceRequest,
+  ScarceSlots,
+  type ScarceSlotsOptions,
+  type ScarceWait,
+} from "./scarce_slots.ts";
 export { OutlierDetector } from "./outlier_detector.ts";
 export {
   type PrefixCacheRecovery,
--- a/packages/relay/src/forward_errors.ts
+++ b/packages/relay/src/forward_errors.ts
@@ -1,4 +1,4 @@
-import type { NoChoiceReason } from "@limpetshed/dispatch";
+import type { NoChoice } from "@limpetshed/dispatch";
 import { RouterError } from "@limpetshed/errors";
 import type { AbortReason, RelayRequest } from "./relay_request.ts";
 import type { SendResult } from "./send_result.ts";
@@ -14,8 +14,7 @@
 /** The failure of a request for which no endpoint could be chosen. */
 export function noEndpointError(
   request: RelayRequest,
-  reason: NoChoiceReason,
-  waitMs = 0,
+  { refusal: reason, waitMs = 0, retryAfterMs }: NoChoice,
 ): RouterError {
   if (request.mayHaveRun) {
     return new RouterError("endpoint_failed", "no endpoint is left to try");
@@ -32,7 +31,7 @@
   return new RouterError(
     wasAttempted ? "endpoint_unreachable" : "no_endpoint",
     `no endpoint can take the request: ${reason}`,
-    { retryAfterMs: Math.max(RETRY_AFTER_MS, waitMs) },
+    { retryAfterMs: retryAfterMs ?? Math.max(RETRY_AFTER_MS, waitMs) },
   );
 }
 
--- a/packages/relay/src/make_chooser.ts
+++ b/packages/relay/src/make_chooser.ts
@@ -3,7 +3,9 @@
   type AccountLoads,
   EndpointChooser,
   type EndpointChooserOptions,
+  type ExecutionTimes,
   OverloadGuard,
+  ScarceSlots,
 } from "@limpetshed/dispatch";
 import type { ConnectionPool } from "./connection_pool.ts";
 
@@ -15,6 +17,9 @@
   > {
   clock: Clock;
   accounts: AccountLoads;
+  executionTimes: ExecutionTimes;
+  /** Returns a number in `[0, 1)`. */
+  random: () => number;
   pool: Pick<ConnectionPool, "openCount">;
   /** Ids of all nodes that may be running, including this one. */
   nodeIds: () => readonly string[];
@@ -27,7 +32,8 @@
 /** Makes the chooser of a node, which sheds load when slots run out and keeps to
  * this node's part of the endpoints' connection limits. */
 export function makeChooser(
-  { accounts, pool, nodeIds, ...options }: MakeChooserOptions,
+  { accounts, executionTimes, random, pool, nodeIds, ...options }:
+    MakeChooserOptions,
 ): EndpointChooser {
   return new EndpointChooser({
     ...options,
@@ -35,6 +41,11 @@
       loads: options.loads,
       latency: options.latency,
       accounts,
+      scarceSlots: new ScarceSlots({
+        loads: options.loads,
+        executionTimes,
+        random,
+      }),
     }),
     nodeCount: () => nodeIds().length,
     isConnectionLimitReached: (address, { maxConnections }) => {
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -11,6 +11,7 @@
   type EndpointPolicy,
   EndpointRegistry,
   EndpointRests,
+  ExecutionTimes,
   LoadTracker,
   OutlierDetector,
   PrefixCacheIndex,
@@ -22,6 +23,7 @@
 } from "@limpetshed/dispatch";
 import type { Logger } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
+import { AttemptTracker } from "./attempt_tracker.ts";
 import { ChangeLogger } from "./change_logger.ts";
 import { makeChooser } from "./make_chooser.ts";
 import { makeCrashSuspects } from "./make_crash_suspects.ts";
@@ -104,6 +106,7 @@
   readonly #outlierDetector: OutlierDetector;
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
+  readonly #executionTimes = new ExecutionTimes();
   readonly #coldStartLimiter: ColdStartLimiter;
   readonly #brittleEndpoints: BrittleEndpoints;
   readonly #server: RelayServer;
@@ -288,8 +291,12 @@
       versions: this.serviceVersions,
       registry: this.registry,
       view,
-      serviceLatency: this.#serviceLatency,
-      accountLoads: this.#accountLoads,
+      attemptTracker: new AttemptTracker({
+        clock,
+        accountLoads: this.#accountLoads,
+        serviceLatency: this.#serviceLatency,
+        executionTimes: this.#executionTimes,
+      }),
       routeTable: () => this.config.table,
     });
   }
@@ -310,6 +317,8 @@
       loads: endpointLoads,
       latency: this.#serviceLatency,
       accounts: this.#accountLoads,
+      executionTimes: this.#executionTimes,
+      random: this.#options.random,
       pool: this.endpointLinks.pool,
       nodeIds,
     });
--- a/packages/relay/src/request_forwarder.ts
+++ b/packages/relay/src/request_forwarder.ts
@@ -1,6 +1,5 @@
 import type { Clock } from "@limpetshed/base";
 import {
-  type AccountLoads,
   type Choice,
   type Endpoint,
   type EndpointChooser,
@@ -12,13 +11,13 @@
   type NoChoice,
   type OutlierDetector,
   type SendOutcome,
-  type ServiceLatency,
   type ServiceVersions,
   streamKey,
   type StreamOrigins,
 } from "@limpetshed/dispatch";
 import type { RouteTable } from "@limpetshed/routing";
 import { AttemptOrigin } from "./attempt_origin.ts";
+import type { AttemptTracker } from "./attempt_tracker.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import { abortError, attemptError, noEndpointError } from "./forward_errors.ts";
@@ -52,8 +51,7 @@
   restRecorder: RestRecorder;
   rests: EndpointRests;
   leavingRecorder: LeavingRecorder;
-  serviceLatency: ServiceLatency;
-  accountLoads: AccountLoads;
+  attemptTracker: AttemptTracker;
   pool: ConnectionPool;
   format: WireFormat;
   observer: RelayObserver;
@@ -137,6 +135,7 @@
   }> {
     const { endpointLoads, pool, format, clock, crashGuard, registry, view } =
       this.#options;
+    const { attemptTracker } = this.#options;
     const choice = this.#chooseEndpointOrThrow(request);
     const { endpoint, copyFrom, candidates } = choice;
     const load = endpointLoads.totalInFlight(endpoint.key);
@@ -181,7 +180,10 @@
     const result = await crashGuard.track(
       request,
       endpoint,
-      this.#trackAttempt(request, attempt),
+      attemptTracker.track(request, attempt, {
+        load,
+        slots: endpoint.entry.slots,
+      }),
     );
     await origin.end(result.outcome);
     this.#recordResult(request, endpoint, result);
@@ -196,33 +198,15 @@
     return { result, crashCheck: crashGuard.confirmCrash(endpoint, result) };
   }
 
-  /** Counts the attempt as in flight for its service and client account until
-   * it ends. Records its duration if the endpoint may have run the request. */
-  async #trackAttempt(
-    { service, account = "" }: RelayRequest,
-    attempt: SendAttempt,
-  ): Promise<SendResult> {
-    const { accountLoads, serviceLatency, clock } = this.#options;
-    const startMs = clock.monotonicMs();
-    accountLoads.begin(service, account);
-    const result = await attempt.result;
-    accountLoads.end(service, account);
-    if (mayHaveRun(result.outcome)) {
-      serviceLatency.record(service, clock.monotonicMs() - startMs);
-    }
-    return result;
-  }
-
   /** Chooses an endpoint; reports a refusal to the observer and throws it. */
   #chooseEndpointOrThrow(
     request: RelayRequest,
   ): Exclude<Choice, NoChoice> {
     const choice = this.#chooseEndpoint(request);
     if ("refusal" in choice) {
-      const { refusal, waitMs } = choice;
       this.#options.retryGuard.giveBack(request);
       this.#options.observer.noEndpointChosen(request, choice);
-      throw noEndpointError(request, refusal, waitMs);
+      throw noEndpointError(request, choice);
     }
     return choice;
   }
