feat(dispatch): estimate scarce loads from what nodes told last

Cause: the sum of all nodes' counts is as old as the slowest of them is to tell (0.8 s at 36 nodes, 2 s at 95) and the same at every node, so that all nodes overshoot together.

Change: counts are weighted by age and taken as a sample of all nodes, for the wait and for the choice of the endpoint. No message is added.

--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -103,6 +103,7 @@
 } from "./retry_budget.ts";
 export { SlidingWindowCounter } from "./sliding_window_counter.ts";
 export { type ExecutedRequest, ExecutionTimes } from "./execution_times.ts";
+export { RecentLoads, type RecentLoadsOptions } from "./recent_loads.ts";
 export {
   hasScarceSlots,
   type ScarceRequest,
--- a/packages/dispatch/src/load_tracker.ts
+++ b/packages/dispatch/src/load_tracker.ts
@@ -58,6 +58,13 @@
     this.#peers.set(node, { counts, atMs: this.#clock.monotonicMs() });
   }
 
+  /** Other nodes' requests in flight, by endpoint, and when they told them. */
+  peerCounts(): Iterable<
+    { counts: ReadonlyMap<string, number>; atMs: number }
+  > {
+    return this.#peers.values();
+  }
+
   /** This node's requests in flight by endpoint; endpoints with none are left
    * out. */
   localCounts(): Map<string, number> {
--- a/packages/dispatch/src/scarce_slots.ts
+++ b/packages/dispatch/src/scarce_slots.ts
@@ -1,10 +1,10 @@
 import type { Endpoint } from "./endpoint_registry.ts";
 import type { ExecutionTimes } from "./execution_times.ts";
-import type { LoadTracker } from "./load_tracker.ts";
+import type { RecentLoads } from "./recent_loads.ts";
 
 /** Options of {@linkcode ScarceSlots}. */
 export interface ScarceSlotsOptions {
-  loads: LoadTracker;
+  loads: RecentLoads;
   executionTimes: ExecutionTimes;
   /** Returns a number in `[0, 1)`. */
   random: () => number;
@@ -58,10 +58,10 @@
 /**
  * Admits and places requests of a service with fewer slots than the fleet has
  * nodes, under bursts, waves, returning callers and after the loss of endpoints.
- * The loads that other nodes tell are older than most requests last. They are added
- * up over the service, where their errors cancel, to estimate the wait. Whether a
- * request is refused and where it goes are drawn at random, so that nodes that see
- * the same old loads do not all decide alike.
+ * Most of what other nodes tell of their loads is older than requests last. The wait
+ * is estimated over the service, where the errors of the endpoints cancel. Whether a
+ * request is refused and where it goes are drawn at random, so that nodes do not all
+ * decide alike.
  */
 export class ScarceSlots {
   readonly #options: ScarceSlotsOptions;
@@ -95,7 +95,7 @@
   select(candidates: readonly Endpoint[]): Endpoint {
     const { loads, random } = this.#options;
     const weights = candidates.map(({ key, entry }) => {
-      const load = loads.totalInFlight(key) / Math.max(1, entry.slots);
+      const load = loads.inFlight(key) / Math.max(1, entry.slots);
       return 1 / (1 + Math.max(0, load - FREE_FRACTION)) ** 2;
     });
     let rest = random() * weights.reduce((sum, weight) => sum + weight, 0);
@@ -111,7 +111,7 @@
     let load = 0;
     let slots = 0;
     for (const { key, entry } of endpoints) {
-      load += this.#options.loads.totalInFlight(key);
+      load += this.#options.loads.inFlight(key);
       slots += entry.slots;
     }
     return Math.max(0, load + 1 - slots) / Math.max(1, slots) * meanMs;
--- a/packages/dispatch/tests/scarce_slots_test.ts
+++ b/packages/dispatch/tests/scarce_slots_test.ts
@@ -4,6 +4,7 @@
 import { EndpointRegistry } from "../src/endpoint_registry.ts";
 import { ExecutionTimes } from "../src/execution_times.ts";
 import { LoadTracker } from "../src/load_tracker.ts";
+import { RecentLoads } from "../src/recent_loads.ts";
 import { hasScarceSlots, ScarceSlots } from "../src/scarce_slots.ts";
 import { entry, hashingReady } from "./fixtures.ts";
 import { playScarceLoad, type ScarceLoad } from "./support/scarce_fleet.ts";
@@ -24,7 +25,7 @@
   {
     name: "a wave with a swing of 0.55",
     load: { nodes: 36, rate: wave },
-    minInTime: 0.88,
+    minInTime: 0.92,
   },
   {
     name: "a burst of 1.7 times the usual rate",
@@ -34,12 +35,12 @@
   {
     name: "the loss of one endpoint of three",
     load: { nodes: 36, rate: () => 0.6, alive: (s) => s < 3 ? 3 : 2 },
-    minInTime: 0.95,
+    minInTime: 0.97,
   },
   {
     name: "the loss of one endpoint of two",
     load: { nodes: 36, rate: () => 0.6, alive: (s) => s < 3 ? 2 : 1 },
-    minInTime: 0.5,
+    minInTime: 0.52,
   },
   {
     name: "callers who come back four times",
@@ -49,12 +50,12 @@
   {
     name: "such callers at 95 nodes",
     load: { nodes: 95, rate: () => 1, returns: 4 },
-    minInTime: 0.62,
+    minInTime: 0.85,
   },
   {
     name: "a burst at 95 nodes",
     load: { nodes: 95, rate: burst },
-    minInTime: 0.78,
+    minInTime: 0.88,
   },
 ];
 
@@ -101,7 +102,7 @@
       return endpoint;
     });
     const slots = new ScarceSlots({
-      loads,
+      loads: new RecentLoads({ clock, loads }),
       executionTimes,
       random: () => random,
     });
@@ -137,6 +138,20 @@
     expect(draws.filter((index) => index === 0).length).to.be.within(1, 5);
   });
 
+  it("weights what nodes told last, as a sample of all nodes", async () => {
+    const clock = new ManualClock();
+    const loads = new LoadTracker({ clock });
+    const recent = new RecentLoads({ clock, loads });
+    expect(recent.inFlight("e")).to.equal(0);
+    for (const node of ["n1", "n2"]) {
+      loads.setPeerCounts(node, new Map([["e", 5]]));
+    }
+    await clock.advance(2_000);
+    loads.setPeerCounts("n3", new Map([["e", 1]]));
+    loads.begin("e");
+    expect(recent.inFlight("e")).to.be.closeTo(1 + 3 * 1, 0.1);
+  });
+
   it("tells execution from waiting by the load", () => {
     const executionTimes = new ExecutionTimes();
     for (const [durationMs, load] of [[60, 3], [120, 11], [240, 23]] as const) {
--- a/packages/dispatch/tests/support/scarce_fleet.ts
+++ b/packages/dispatch/tests/support/scarce_fleet.ts
@@ -10,6 +10,7 @@
   OverloadGuard,
   PrefixCacheIndex,
   PrefixPolicy,
+  RecentLoads,
   ScarceSlots,
   ServiceLatency,
 } from "../../src/index.ts";
@@ -64,7 +65,11 @@
       loads,
       latency,
       accounts: new AccountLoads(),
-      scarceSlots: new ScarceSlots({ loads, executionTimes, random }),
+      scarceSlots: new ScarceSlots({
+        loads: new RecentLoads({ clock, loads }),
+        executionTimes,
+        random,
+      }),
     });
     const policy = new PrefixPolicy({
       loads,
--- a/packages/relay/src/make_chooser.ts
+++ b/packages/relay/src/make_chooser.ts
@@ -5,6 +5,7 @@
   type EndpointChooserOptions,
   type ExecutionTimes,
   OverloadGuard,
+  RecentLoads,
   ScarceSlots,
 } from "@limpetshed/dispatch";
 import type { ConnectionPool } from "./connection_pool.ts";
@@ -42,7 +43,7 @@
       latency: options.latency,
       accounts,
       scarceSlots: new ScarceSlots({
-        loads: options.loads,
+        loads: new RecentLoads(options),
         executionTimes,
         random,
       }),
