feat(dispatch): leave the choice to the policy while most slots are free

Cause: a draw in calm sends two thirds of the requests to other zones, though nobody waits.

Change: endpoints are drawn only while over half of the service's slots are in use, so that other deployments are served as before in calm.

--- a/packages/dispatch/src/overload_guard.ts
+++ b/packages/dispatch/src/overload_guard.ts
@@ -117,7 +117,7 @@
       candidates,
     });
     if (retryAfterMs === undefined) {
-      return { endpoints: [scarceSlots.select(candidates)] };
+      return { endpoints: scarceSlots.narrow(candidates) };
     }
     const refusal = waitMs >= leftMs ? "hopeless" : "scarce_slots";
     return {
@@ -133,7 +133,7 @@
     isScarce: boolean,
   ): readonly Endpoint[] {
     return isScarce && this.#scarceSlots !== undefined
-      ? [this.#scarceSlots.select(candidates)]
+      ? this.#scarceSlots.narrow(candidates)
       : candidates;
   }
 
--- a/packages/dispatch/src/scarce_slots.ts
+++ b/packages/dispatch/src/scarce_slots.ts
@@ -41,8 +41,8 @@
 /** Callers that are refused together come back over this time, milliseconds: a few
  * slots become free in it. */
 const RETURN_SPREAD_MS = 30;
-/** Fraction of its slots in use up to which an endpoint is as good as an idle
- * one. */
+/** Fraction of its slots in use up to which an endpoint, or the service, is as good
+ * as an idle one. */
 const FREE_FRACTION = 0.5;
 
 /** Whether nodes know too little about the loads of the endpoints to choose the
@@ -90,9 +90,17 @@
     return { waitMs, retryAfterMs };
   }
 
-  /** Draws one of the candidates. Full ones are less likely, so that one that is
-   * slow or stands still gets few requests. */
-  select(candidates: readonly Endpoint[]): Endpoint {
+  /** Returns all candidates while the service has many free slots, so that near
+   * endpoints can be preferred. Otherwise draws one: full ones are less likely, so
+   * that one that is slow or stands still gets few requests. */
+  narrow(candidates: readonly Endpoint[]): readonly Endpoint[] {
+    const { load, slots } = this.#sum(candidates);
+    return load <= FREE_FRACTION * slots
+      ? candidates
+      : [this.#draw(candidates)];
+  }
+
+  #draw(candidates: readonly Endpoint[]): Endpoint {
     const { loads, random } = this.#options;
     const weights = candidates.map(({ key, entry }) => {
       const load = loads.inFlight(key) / Math.max(1, entry.slots);
@@ -108,12 +116,17 @@
 
   /** Expected wait for a slot if requests are spread over the endpoints. */
   #waitMs(endpoints: readonly Endpoint[], meanMs: number): number {
+    const { load, slots } = this.#sum(endpoints);
+    return Math.max(0, load + 1 - slots) / Math.max(1, slots) * meanMs;
+  }
+
+  #sum(endpoints: readonly Endpoint[]): { load: number; slots: number } {
     let load = 0;
     let slots = 0;
     for (const { key, entry } of endpoints) {
       load += this.#options.loads.inFlight(key);
       slots += entry.slots;
     }
-    return Math.max(0, load + 1 - slots) / Math.max(1, slots) * meanMs;
+    return { load, slots };
   }
 }
