--- a/packages/relay/src/make_chooser.ts
+++ b/packages/relay/src/make_chooser.ts
@@ -3,8 +3,11 @@
   type AccountLoads,
   type EndpointChooser,
   type EndpointChooserOptions,
+  type ExecutionTimes,
   GatedChooser,
   OverloadGuard,
+  RecentLoads,
+  ScarceSlots,
   type VersionGate,
 } from "@limpetshed/dispatch";
 import type { ConnectionPool } from "./connection_pool.ts";
@@ -18,6 +21,9 @@
   clock: Clock;
   accounts: AccountLoads;
   gate: VersionGate;
+  executionTimes: ExecutionTimes;
+  /** Returns a number in `[0, 1)`. */
+  random: () => number;
   pool: Pick<ConnectionPool, "openCount">;
   /** Ids of all nodes that may be running, including this one. */
   nodeIds: () => readonly string[];
@@ -30,7 +36,8 @@
 /** Makes the chooser of a node, which sheds load when slots run out and keeps to
  * this node's part of the endpoints' connection limits. */
 export function makeChooser(
-  { accounts, pool, nodeIds, ...options }: MakeChooserOptions,
+  { accounts, executionTimes, random, pool, nodeIds, ...options }:
+    MakeChooserOptions,
 ): EndpointChooser {
   return new GatedChooser({
     ...options,
@@ -38,6 +45,11 @@
       loads: options.loads,
       latency: options.latency,
       accounts,
+      scarceSlots: new ScarceSlots({
+        loads: new RecentLoads(options),
+        executionTimes,
+        random,
+      }),
     }),
     nodeCount: () => nodeIds().length,
     isConnectionLimitReached: (address, { maxConnections }) => {
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -11,6 +11,7 @@
   type EndpointPolicy,
   EndpointRegistry,
   EndpointRests,
+  ExecutionTimes,
   type ExposureLimits,
   LoadTracker,
   OutlierDetector,
@@ -29,6 +30,7 @@
   DEFAULT_MACHINE_LIMITS,
   type MachineLimits,
 } from "./client_resources.ts";
+import { AttemptTracker } from "./attempt_tracker.ts";
 import { ChangeLogger } from "./change_logger.ts";
 import { makeChooser } from "./make_chooser.ts";
 import { makeCrashSuspects } from "./make_crash_suspects.ts";
@@ -117,6 +119,7 @@
   readonly #outlierDetector: OutlierDetector;
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
+  readonly #executionTimes = new ExecutionTimes();
   readonly #coldStartLimiter: ColdStartLimiter;
   readonly #brittleEndpoints: BrittleEndpoints;
   readonly #server: RelayServer;
@@ -314,8 +317,12 @@
       versions: this.serviceVersions,
       registry: this.registry,
       view,
-      serviceLatency: this.#serviceLatency,
-      accountLoads: this.#accountLoads,
+      attemptTracker: new AttemptTracker({
+        clock,
+        accountLoads: this.#accountLoads,
+        serviceLatency: this.#serviceLatency,
+        executionTimes: this.#executionTimes,
+      }),
       routeTable: () => this.config.table,
     });
   }
@@ -337,6 +344,8 @@
       latency: this.#serviceLatency,
       accounts: this.#accountLoads,
       gate: this.versionRollouts,
+      executionTimes: this.#executionTimes,
+      random: this.#options.random,
       pool: this.endpointLinks.pool,
       nodeIds,
     });
