--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,7 +4,6 @@
   LoadExchange,
   type LoadExchangeOptions,
 } from "./load_exchange.ts";
-export { FANOUT, roundsToReachAll } from "./broadcast_schedule.ts";
 export {
   decodeSpeedMessage,
   encodeSpeedMessage,
@@ -80,4 +79,8 @@
   type RolloutStatusWriterOptions,
   type StatusWish,
 } from "./rollout_status_writer.ts";
-export { FANOUT, ROUND_INTERVAL_MS } from "./broadcast_schedule.ts";
+export {
+  FANOUT,
+  ROUND_INTERVAL_MS,
+  roundsToReachAll,
+} from "./broadcast_schedule.ts";
