relay: send slow safe requests a second time, within a share

Cause: a few answers that take far longer than the others of their kind spoil what callers see, and nothing was done about them before the endpoint failed.

Credit of the share and the service's retry budget bound the extra work. Off by default.

--- a/packages/dispatch/src/crash_suspects.ts
+++ b/packages/dispatch/src/crash_suspects.ts
@@ -110,6 +110,11 @@
     return verdict;
   }
 
+  /** Whether a request with these traits may have crashed endpoints. */
+  isSuspected(traits: readonly string[]): boolean {
+    return traits.some((trait) => this.#suspects.crashes(trait).length > 0);
+  }
+
   /** Records that a request is sent to an endpoint; returns the traits that it is
    * to try, since they are suspect. */
   begin(traits: readonly string[]): string[] {
--- a/packages/dispatch/src/endpoint_chooser.ts
+++ b/packages/dispatch/src/endpoint_chooser.ts
@@ -128,6 +128,22 @@
     return this.#select(req, admission.endpoints);
   }
 
+  /** Chooses an endpoint with a free slot for a second send of a request: one that
+   * neither waits nor takes what other nodes need; undefined if there is none. */
+  chooseSpare(req: ChoiceRequest): Exclude<Choice, NoChoice> | undefined {
+    const { endpointLimiter, loads, outlierDetector } = this.#options;
+    const usable = this.#usable(req);
+    const outliers = outlierDetector.outliers(usable.map(({ key }) => key));
+    const spare = usable.filter((endpoint) =>
+      !req.tried.has(endpoint.key) && !outliers.has(endpoint.key) &&
+      this.#isAwake(endpoint) && this.#isWithinColdLimit(endpoint, req.spec) &&
+      endpointLimiter.allows(endpoint.key) && this.#hasRoom(endpoint) &&
+      loads.totalInFlight(endpoint.key) < endpoint.entry.slots
+    );
+    const candidates = this.#filterConnectable(spare, req.spec);
+    return candidates.length === 0 ? undefined : this.#select(req, candidates);
+  }
+
   /** Asks other nodes for a share of one limited endpoint, a different one each
    * time, that could have taken a request that is refused. */
   #recordNeed(req: ChoiceRequest): void {
@@ -278,7 +294,7 @@
   #select(
     { spec, prompt }: ChoiceRequest,
     candidates: readonly Endpoint[],
-  ): Choice {
+  ): Exclude<Choice, NoChoice> {
     const { registry, policy, coldStartLimiter, endpointLimiter, rests } =
       this.#options;
     const all = registry.serviceEndpoints(spec.name);
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -33,6 +33,12 @@
   type NoChoice,
   type NoChoiceReason,
 } from "./endpoint_chooser.ts";
+export {
+  type HedgeKind,
+  HedgePolicy,
+  type HedgePolicyOptions,
+  type HedgeTimes,
+} from "./hedge_policy.ts";
 export { EndpointLimiter } from "./endpoint_limiter.ts";
 export type {
   LimitChange,
--- a/packages/dispatch/src/outlier_detector.ts
+++ b/packages/dispatch/src/outlier_detector.ts
@@ -119,6 +119,14 @@
     stats.lastHeadersAtMs = this.#clock.monotonicMs();
   }
 
+  /** Records that no headers had arrived after this time, milliseconds, when the
+   * request was cancelled: all that is known is that they take longer. */
+  recordNoHeaders(endpoint: string, elapsedMs: number): void {
+    if (elapsedMs > this.#statsOf(endpoint).meanHeadersMs) {
+      this.recordHeadersTime(endpoint, elapsedMs);
+    }
+  }
+
   /** Returns the keys of the endpoints to avoid. `endpoints` are the keys to
    * compare, all of one service. */
   outliers(endpoints: readonly string[]): ReadonlySet<string> {
--- a/packages/dispatch/src/retry_policy.ts
+++ b/packages/dispatch/src/retry_policy.ts
@@ -16,7 +16,10 @@
   /** Sent without a usable response: the request may have been executed. */
   | "lost"
   /** The response was cut off after its start had reached the caller. */
-  | "broken";
+  | "broken"
+  /** Ended as another attempt of the request answered it: the request may have
+   * been executed. */
+  | "cancelled";
 
 /** Attempts that one request has used so far. */
 export interface AttemptCounts {
@@ -50,6 +53,7 @@
 ): boolean {
   switch (outcome) {
     case "delivered":
+    case "cancelled":
       return false;
     case "not_sent":
     case "misdirected":
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -248,6 +248,7 @@
           findEndpoint: (key) => registry.getByKey(key),
         }),
       retryLimits: settings.retryLimits,
+      hedgedShare: settings.hedgedShare,
       coldLimits: settings.coldLimits,
       readinessPath,
       random: () => this.#rng.fraction(),
--- a/packages/fleet_relay/src/fleet_relay_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -33,6 +33,9 @@
   /** Load bound of an endpoint, as a multiple of the mean load. */
   loadMultiple: number;
   retryLimits: RetryLimits;
+  /** Slow requests of a service that may be sent a second time, as a share of its
+   * requests, 0 to 1; none by default. */
+  hedgedShare?: number;
   /** Limits on requests to a cold endpoint: one that has started recently and
    * cannot serve its full rate yet. */
   coldLimits: ColdStartLimits;
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -48,6 +48,16 @@
     ["reason"],
     "Requests that were not retried after a failed attempt, by reason.",
   ),
+  limpetshed_hedges_total: row(
+    "counter",
+    ["outcome"],
+    "Slow requests that were sent a second time, by which attempt answered.",
+  ),
+  limpetshed_hedges_denied_total: row(
+    "counter",
+    ["reason"],
+    "Slow requests that were not sent a second time, by reason.",
+  ),
   limpetshed_not_placed_total: row(
     "counter",
     ["reason"],
--- a/packages/relay/src/crash_guard.ts
+++ b/packages/relay/src/crash_guard.ts
@@ -33,6 +33,11 @@
     return this.#options.suspects.verdict(this.#traits(request));
   }
 
+  /** Whether `request` may have crashed endpoints, also if it may be sent. */
+  isSuspected(request: RelayRequest): boolean {
+    return this.#options.suspects.isSuspected(this.#traits(request));
+  }
+
   /** Resolves to whether the process of an endpoint is known to be there, whether it
    * leaves or not. */
   isAlive({ entry }: Endpoint): Promise<boolean> {
--- a/packages/relay/src/held_response.ts
+++ b/packages/relay/src/held_response.ts
@@ -9,6 +9,8 @@
   status: number;
   /** Names and values alternating. */
   headers: string[];
+  /** Called before anything is passed on. */
+  onRelease?: () => void;
   maxBytes?: number;
   maxHoldMs?: number;
 }
@@ -75,7 +77,8 @@
       return true;
     }
     this.#state = "released";
-    const { writer, status, headers } = this.#options;
+    const { writer, status, headers, onRelease } = this.#options;
+    onRelease?.();
     writer.sendHead(status, headers);
     const body = Buffer.concat(this.#chunks);
     this.#chunks = [];
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -11,6 +11,7 @@
   type EndpointPolicy,
   EndpointRegistry,
   EndpointRests,
+  HedgePolicy,
   LoadTracker,
   OutlierDetector,
   PrefixCacheIndex,
@@ -67,6 +68,9 @@
   tunnels?: HelperTunnels;
   makePolicy: (dependencies: PolicyDependencies) => EndpointPolicy;
   retryLimits: RetryLimits;
+  /** Slow requests of a service that may be sent a second time, as a share of its
+   * requests, 0 to 1; none by default. */
+  hedgedShare?: number;
   /** Limits on requests to a cold endpoint: one that has started recently and
    * cannot serve its full rate yet. */
   coldLimits: ColdStartLimits;
@@ -256,6 +260,7 @@
       this.#options;
     return new RequestForwarder({
       clock,
+      hedgePolicy: new HedgePolicy({ clock, share: this.#options.hedgedShare }),
       chooser: this.#makeChooser(),
       endpointLoads: this.endpointLoads,
       outlierDetector: this.#outlierDetector,
--- a/packages/relay/src/relay_observer.ts
+++ b/packages/relay/src/relay_observer.ts
@@ -32,6 +32,31 @@
   /** The retry budget of the service is used up. */
   | "budget_used";
 
+/** Why a slow request is not sent a second time. */
+export type HedgeDenial =
+  /** Too little time is left to the caller. */
+  | "no_time"
+  /** The request, or a part of its prompt, may crash endpoints. */
+  | "crash_suspect"
+  /** The share of requests that may be sent twice is used up. */
+  | "share_used"
+  /** The retry budget of the service is used up. */
+  | "budget_used"
+  /** No other endpoint may take it and has a free slot. */
+  | "no_room";
+
+/** A request that was sent to two endpoints at the same time. */
+export interface HedgeRecord {
+  /** In the order of the attempts. */
+  endpoints: readonly [Endpoint, Endpoint];
+  /** Time from the first send to the second, milliseconds. */
+  afterMs: number;
+  /** Time until both had ended, milliseconds. */
+  tookMs: number;
+  /** Which attempt answered the client. */
+  outcome: "first_won" | "second_won" | "none_won";
+}
+
 /** Receives the events of a request, for logs and metrics. */
 export abstract class RelayObserver {
   /** An attempt to send a request has ended. */
@@ -46,6 +71,13 @@
     denied: { outcome: SendOutcome; denial: RetryDenial; usage: RetryUsage },
   ): void;
 
+  /** A request that was sent a second time has been answered, or both attempts
+   * have failed. */
+  abstract hedged(request: RelayRequest, record: HedgeRecord): void;
+
+  /** A slow request is not sent a second time. */
+  abstract hedgeDenied(request: RelayRequest, denial: HedgeDenial): void;
+
   /** No endpoint could be chosen. */
   abstract noEndpointChosen(request: RelayRequest, reason: NoChoice): void;
 
--- a/packages/relay/src/retry_guard.ts
+++ b/packages/relay/src/retry_guard.ts
@@ -61,6 +61,17 @@
     }
   }
 
+  /** Consumes a retry for a second send of a request that still runs; returns
+   * whether the budget has one left. */
+  tryHedge(service: string): boolean {
+    return this.#options.budget.tryConsume(service);
+  }
+
+  /** Returns to the budget a second send that did not take place. */
+  giveBackHedge(service: string): void {
+    this.#options.budget.giveBack(service);
+  }
+
   #denial(
     { route, service }: RelayRequest,
     { outcome, counts, receivedAttempts, isCommitted = false }: EndedAttempt,
@@ -80,5 +91,5 @@
 /** Whether an attempt with this outcome may have run the request. */
 export function mayHaveRun(outcome: SendOutcome): boolean {
   return outcome === "failed" || outcome === "lost" || outcome === "broken" ||
-    outcome === "delivered";
+    outcome === "cancelled" || outcome === "delivered";
 }
--- a/packages/relay/src/send_attempt.ts
+++ b/packages/relay/src/send_attempt.ts
@@ -10,10 +10,11 @@
   ResponseHead,
 } from "./endpoint_connection.ts";
 import { HeldResponse } from "./held_response.ts";
-import { filterHeaders, hopByHopHeaders } from "./hop_by_hop_headers.ts";
 import { outgoingHeaders } from "./outgoing_headers.ts";
 import type { AbortReason } from "./relay_request.ts";
+import { relayedHeaders } from "./relayed_headers.ts";
 import type { EndpointAnswer } from "./rest_recorder.ts";
+import { reportLimits } from "./report_limits.ts";
 import { ResponseBody } from "./response_body.ts";
 import type { SendAttemptOptions } from "./send_attempt_options.ts";
 import type { SendResult } from "./send_result.ts";
@@ -25,7 +26,6 @@
  * connection usable again: closing it is cheaper beyond them. */
 const MAX_DISCARDED_BYTES = 65_536;
 const MAX_DISCARD_MS = 1_000;
-const FIRST_ERROR_STATUS = 400;
 /** Statuses whose `retry-after` asks for a rest. */
 const REST_STATUSES: ReadonlySet<number> = new Set([429, 503]);
 
@@ -62,18 +62,10 @@
     });
     options.endpointLoads.begin(endpoint.key);
     request.signal.addEventListener("abort", this.#onAbort, { once: true });
-    this.#connection.exchange(
-      {
-        method: request.method,
-        path: request.path,
-        headers: outgoingHeaders({
-          ...options,
-          lastEventId: options.framer?.lastEventId,
-        }),
-        body: request.body,
-      },
-      this,
-    );
+    const { method, path, body } = request;
+    const lastEventId = options.framer?.lastEventId;
+    const headers = outgoingHeaders({ ...options, lastEventId });
+    this.#connection.exchange({ method, path, headers, body }, this);
   }
 
   /** Resolves when the response has been relayed or the attempt has failed. */
@@ -102,20 +94,14 @@
         this.#options.onLeaving();
       }
     }
-    if (matchesRequest && metadata.inFlight !== undefined) {
-      endpointLoads.recordReportedInFlight(endpoint.key, metadata.inFlight);
-    }
-    if (
-      matchesRequest && !metadata.isMisdirected &&
-      (metadata.isSigned || metadata.isNotRun)
-    ) {
-      const isServed = !metadata.isNotRun && head.status < FIRST_ERROR_STATUS;
-      this.#options.onLimit(metadata.limit, {
+    if (matchesRequest) {
+      if (metadata.inFlight !== undefined) {
+        endpointLoads.recordReportedInFlight(endpoint.key, metadata.inFlight);
+      }
+      reportLimits(metadata, {
+        ...this.#options,
+        status: head.status,
         sentMs: this.#sendStartMs,
-        isServed,
-      });
-      this.#options.onBrittleness(metadata.brittleness, {
-        isRejected: metadata.isNotRun,
       });
     }
     const unusable = classifyUnusable({
@@ -152,25 +138,27 @@
     }
   }
 
-  #sendHead(
-    { status, headers, rawHeaders }: ResponseHead,
-    { isEventStream }: ResponseBody,
-  ): void {
-    const { writer, request, clock, format } = this.#options;
-    const dropped = hopByHopHeaders(headers.connection);
-    if (isEventStream && (writer.supportsChunks || request.route.resumable)) {
+  #sendHead(head: ResponseHead, { isEventStream }: ResponseBody): void {
+    const { writer, request, clock, format, onCommit } = this.#options;
+    const { status } = head;
+    const headers = relayedHeaders(head, {
+      format,
       // The stream may be found broken after its last byte, and another endpoint
       // that resumes it may send events of other lengths.
-      dropped.add("content-length");
-    }
-    const kept = filterHeaders(
-      rawHeaders,
-      (name) => !dropped.has(name) && !format.isForNodes(name),
-    );
+      dropsLength: isEventStream &&
+        (writer.supportsChunks || request.route.resumable),
+    });
     if (request.route.kind === "safe" && !isEventStream) {
-      this.#held = new HeldResponse({ clock, writer, status, headers: kept });
+      this.#held = new HeldResponse({
+        clock,
+        writer,
+        status,
+        headers,
+        onRelease: onCommit,
+      });
     } else {
-      writer.sendHead(status, kept, { isEventStream });
+      onCommit();
+      writer.sendHead(status, headers, { isEventStream });
     }
   }
 
@@ -188,12 +176,13 @@
     const { framer, writer } = this.#options;
     const bytes = framer === undefined ? chunk : framer.push(chunk);
     const { openEventBytes = 0 } = framer ?? this.#body ?? {};
-    if (openEventBytes > MAX_EVENT_BYTES) {
-      this.#breakOff(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
-      return;
-    }
-    if (framer?.isOutOfOrder === true) {
-      this.#breakOff("the events do not follow those before");
+    const fault = openEventBytes > MAX_EVENT_BYTES
+      ? `an event exceeds ${MAX_EVENT_BYTES} bytes`
+      : framer?.isOutOfOrder === true
+      ? "the events do not follow those before"
+      : undefined;
+    if (fault !== undefined) {
+      this.#breakOff(fault);
       return;
     }
     if (framer !== undefined && bytes.length > 0 && this.#relayedBytes === 0) {
@@ -292,6 +281,15 @@
     this.#connection.close();
   };
 
+  /** Ends the attempt, unless it has ended, as another one answers the client. */
+  cancel(): void {
+    if (this.#state === "waiting" || this.#state === "relaying") {
+      this.#cleanUp();
+      this.#settle("cancelled");
+      this.#connection.close();
+    }
+  }
+
   /** Closes the connection on which a body that is not relayed goes on. */
   #abandonDiscard(): void {
     this.#cleanUp();
@@ -327,6 +325,7 @@
   #settle(outcome: SendOutcome, reason?: string): void {
     this.#held?.discard();
     this.#reportAnswer("none");
+    const nowMs = this.#options.clock.monotonicMs();
     this.#result.resolve({
       outcome,
       status: this.#head?.status,
@@ -338,10 +337,10 @@
       sentMs: this.#hasStartedSending ? this.#sendStartMs : undefined,
       answeringMs: this.#headMs === undefined
         ? undefined
-        : this.#options.clock.monotonicMs() - this.#sendStartMs - this.#headMs,
+        : nowMs - this.#sendStartMs - this.#headMs,
       framing: this.#body?.framing,
       receivedBytes: this.#body?.receivedBytes,
-      relayedBytes: this.#body === undefined ? undefined : this.#relayedBytes,
+      relayedBytes: this.#body && this.#relayedBytes,
       openEventBytes: this.#body?.openEventBytes,
     });
     this.#state = "settled";
--- a/packages/relay/src/send_attempt_options.ts
+++ b/packages/relay/src/send_attempt_options.ts
@@ -62,6 +62,8 @@
   /** Called on a server error of the endpoint; if it returns true, the request
    * is retried and the response is discarded. */
   onServerError: () => boolean;
+  /** Called before the first byte of a response is passed to the client. */
+  onCommit: () => void;
   /** Called when a response has ended with its connection; resolves to whether the
    * process of the endpoint is known to be there. */
   isEndpointAlive: () => Promise<boolean>;
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -12,6 +12,8 @@
   type RelayMetrics,
 } from "@limpetshed/observe";
 import {
+  type HedgeDenial,
+  type HedgeRecord,
   RelayObserver,
   type RetryDenial,
   type SendRecord,
@@ -137,6 +139,27 @@
     }));
   }
 
+  hedged(
+    request: RelayRequest,
+    { endpoints, afterMs, tookMs, outcome }: HedgeRecord,
+  ): void {
+    this.#metrics.count("limpetshed_hedges_total", { outcome });
+    this.#log("hedge", () => ({
+      requestId: loggableId(request.requestId),
+      event: "hedge",
+      outcome,
+      route: request.route.name,
+      service: request.service,
+      endpointIds: endpoints.map(({ entry }) => entry.id),
+      afterMs: Math.round(afterMs),
+      tookMs: Math.round(tookMs),
+    }));
+  }
+
+  hedgeDenied(_request: RelayRequest, denial: HedgeDenial): void {
+    this.#metrics.count("limpetshed_hedges_denied_total", { reason: denial });
+  }
+
   noEndpointChosen(
     request: RelayRequest,
     { refusal, waitMs, trait }: NoChoice,
