relay: count an endpoint that was overtaken as slow

Cause: a slow endpoint whose answers are all cancelled was never seen to be slow, as only response heads were recorded.

Change: the time that a first attempt waited counts for its endpoint and never lowers the mean. Spare endpoints are chosen by tests' word too: not full, not resting, no outlier, within limits.

--- a/packages/dispatch/src/outlier_detector.ts
+++ b/packages/dispatch/src/outlier_detector.ts
@@ -119,12 +119,12 @@
     stats.lastHeadersAtMs = this.#clock.monotonicMs();
   }
 
-  /** Records that no headers had arrived after this time, milliseconds, when the
-   * request was cancelled: all that is known is that they take longer. */
-  recordNoHeaders(endpoint: string, elapsedMs: number): void {
-    if (elapsedMs > this.#statsOf(endpoint).meanHeadersMs) {
-      this.recordHeadersTime(endpoint, elapsedMs);
-    }
+  /** Records that no headers had arrived after this time, milliseconds, when
+   * another endpoint answered the request, though it got it later. That the
+   * headers take longer is all that is known, so it never lowers the mean. */
+  recordOvertaken(endpoint: string, elapsedMs: number): void {
+    const { meanHeadersMs } = this.#statsOf(endpoint);
+    this.recordHeadersTime(endpoint, Math.max(elapsedMs, meanHeadersMs));
   }
 
   /** Returns the keys of the endpoints to avoid. `endpoints` are the keys to
--- a/packages/dispatch/tests/endpoint_chooser_test.ts
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -57,6 +57,7 @@
     nodeId: "n1",
     nodeIds: () => ["n1"],
   });
+  const outlierDetector = new OutlierDetector({ clock });
   const chooser = new EndpointChooser({
     clock,
     registry,
@@ -71,7 +72,7 @@
     rests,
     latency,
     nodeCount: () => 1,
-    outlierDetector: new OutlierDetector({ clock }),
+    outlierDetector,
     versions: new ServiceVersions({ clock, registry }),
     brittleEndpoints,
     loads,
@@ -100,9 +101,47 @@
     });
     return "refusal" in choice ? choice.refusal : choice.endpoint.entry.id;
   };
-  return { choose, endpointLimiter };
+  const chooseSpare = (tried: readonly string[] = []) =>
+    chooser.chooseSpare({
+      spec: spec(),
+      prompt: undefined,
+      tried: new Set(tried),
+      overloadInput: {
+        account: "a",
+        priority: 0,
+        targetLatencyMs: 300,
+        leftMs: 5_000,
+      },
+    })?.endpoint.entry.id;
+  return { choose, chooseSpare, endpointLimiter, outlierDetector, rests };
 }
 
+describe("EndpointChooser for a second send", () => {
+  before(() => hashingReady);
+
+  it("chooses another endpoint with a free slot", () => {
+    const { chooseSpare } = setUp({ e1: 0, e2: 3, e3: 4 });
+    expect(chooseSpare(["e1/1"])).to.equal("e2");
+  });
+
+  it("chooses none that is full, though a retry would wait there", () => {
+    const { choose, chooseSpare } = setUp({ e1: 0, e2: 4 });
+    expect(choose({}, ["e1/1"])).to.equal("e2");
+    expect(chooseSpare(["e1/1"])).to.equal(undefined);
+  });
+
+  it("chooses none that is an outlier, rests, or has no request left", () => {
+    const { chooseSpare, outlierDetector, rests } = setUp(
+      { e1: 0, e2: 0, e3: 0, e4: 0 },
+      { e4: 0 },
+    );
+    outlierDetector.recordConnectionFailure("e2/1");
+    rests.recordNamed("e3/1", 3_000);
+    expect(chooseSpare(["e1/1"])).to.equal(undefined);
+    expect(chooseSpare()).to.equal("e1");
+  });
+});
+
 describe("EndpointChooser under overload", () => {
   before(() => hashingReady);
 
--- a/packages/dispatch/tests/outlier_detector_test.ts
+++ b/packages/dispatch/tests/outlier_detector_test.ts
@@ -59,6 +59,15 @@
     expect(outliers()).to.deep.equal([]);
   });
 
+  it("avoids an endpoint that is too slow for any answer to be awaited", () => {
+    const { detector, outliers } = setUp();
+    for (let index = 0; index < 4; index += 1) {
+      detector.recordOvertaken("e1", 400 - 10 * index);
+      ["e2", "e3", "e4"].forEach((key) => detector.recordHeadersTime(key, 50));
+    }
+    expect(outliers()).to.deep.equal(["e1"]);
+  });
+
   it("avoids an endpoint that is much slower than the others", async () => {
     const { clock, detector, outliers } = setUp();
     for (let index = 0; index < 4; index += 1) {
--- a/packages/relay/src/attempt_race.ts
+++ b/packages/relay/src/attempt_race.ts
@@ -26,6 +26,8 @@
   settle: () => void;
   /** Whether another attempt may still answer the request. */
   isOtherRunning: () => boolean;
+  /** Whether an attempt that was started later answers the client. */
+  isOvertaken: () => boolean;
 }
 
 /** Attempts of one request that run at the same time. One of them answers the
@@ -62,6 +64,7 @@
           started.isRunning = false;
         }
       },
+      isOvertaken: () => (this.#committed ?? index) > index,
       isOtherRunning: () =>
         this.#attempts.some((other, i) => i !== index && other.isRunning),
     });
--- a/packages/relay/src/attempt_runner.ts
+++ b/packages/relay/src/attempt_runner.ts
@@ -136,7 +136,7 @@
       return ended;
     });
     return {
-      ended: this.#recordEnd(request, { choice, load, origin, result }),
+      ended: this.#recordEnd(request, { choice, entry, load, origin, result }),
       cancel: () => attempt.cancel(),
       isAnswering: () => isAnswering,
     };
@@ -144,8 +144,9 @@
 
   async #recordEnd(
     request: RelayRequest,
-    { choice, load, origin, result: pending }: {
+    { choice, entry, load, origin, result: pending }: {
       choice: ChosenEndpoint;
+      entry: RaceEntry;
       /** Requests in flight at the endpoint when it was chosen. */
       load: number;
       origin: AttemptOrigin;
@@ -160,7 +161,7 @@
       this.#trackLoad(request, pending),
     );
     await origin.end(result.outcome);
-    this.#recordResult(request, endpoint, result);
+    this.#recordResult(request, { endpoint, entry, result });
     observer.attemptEnded({
       request,
       endpoint,
@@ -221,8 +222,11 @@
 
   #recordResult(
     request: RelayRequest,
-    endpoint: Endpoint,
-    result: SendResult,
+    { endpoint, entry, result }: {
+      endpoint: Endpoint;
+      entry: RaceEntry;
+      result: SendResult;
+    },
   ): void {
     this.#updateProgress(request, endpoint, result);
     if (request.signal.aborted) {
@@ -236,6 +240,13 @@
       return;
     }
     this.#recordHealth(endpoint, result);
+    const { sentMs, headMs } = result;
+    if (entry.isOvertaken() && sentMs !== undefined && headMs === undefined) {
+      this.#options.outlierDetector.recordOvertaken(
+        endpoint.key,
+        this.#options.clock.monotonicMs() - sentMs,
+      );
+    }
   }
 
   #updateProgress(
@@ -259,9 +270,8 @@
   }
 
   /** Updates endpoint health from an attempt's outcome. */
-  #recordHealth({ key }: Endpoint, result: SendResult): void {
-    const { outlierDetector, rests, clock } = this.#options;
-    const { outcome, sentMs, headMs } = result;
+  #recordHealth({ key }: Endpoint, { outcome }: SendResult): void {
+    const { outlierDetector, rests } = this.#options;
     switch (outcome) {
       case "delivered":
         outlierDetector.recordDelivered(key);
@@ -276,10 +286,6 @@
         outlierDetector.recordConnectionFailure(key);
         return;
       case "cancelled":
-        if (sentMs !== undefined && headMs === undefined) {
-          outlierDetector.recordNoHeaders(key, clock.monotonicMs() - sentMs);
-        }
-        return;
       case "rejected":
       case "misdirected":
       case "failed": // already recorded by `#onServerError`
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -113,9 +113,17 @@
   readonly confirmationWaiters = new Set<() => void>();
 
   constructor(
-    { retryRatio = 1, retrySlack = 100, connector, followsSources = false }: {
+    {
+      retryRatio = 1,
+      retrySlack = 100,
+      hedgedShare,
+      connector,
+      followsSources = false,
+    }: {
       retryRatio?: number;
       retrySlack?: number;
+      /** Share of requests that may be sent a second time. */
+      hedgedShare?: number;
       /** Opens connections to endpoints. */
       connector?: EndpointConnector;
       /** Whether the node can wait for usual sources to confirm its view. */
@@ -156,6 +164,7 @@
         slack: retrySlack,
         windowMs: 10_000,
       },
+      hedgedShare,
       coldLimits: { rateMultiple: 1, slack: 0 },
       readinessPath: "/ready",
       random: () => 0,
