--- a/packages/relay/tests/second_send_test.ts
+++ b/packages/relay/tests/second_send_test.ts
@@ -1,8 +1,21 @@
 import { expect } from "chai";
 import { afterEach, describe, it } from "mocha";
-import { RelayFixture, type RequestHandler, respond } from "./relay_fixture.ts";
+import {
+  rejectAsNotRun,
+  RelayFixture,
+  type RequestHandler,
+  resetConnection,
+  respond,
+} from "./relay_fixture.ts";
 
 const SLOW_MS = 2_000;
+/** Time after which the second endpoint answers, and the first fails before. */
+const SECOND_MS = 400;
+const FAILURE_MS = 250;
+
+const respondLate: RequestHandler = (request, res, socket) => {
+  setTimeout(() => respond(request, res, socket), SLOW_MS);
+};
 
 describe("a slow request that may be repeated", () => {
   let fixture: RelayFixture;
@@ -10,15 +23,25 @@
   afterEach(() => fixture.close());
 
   /** Sends requests that are answered at once, then one that the first endpoint
-   * to get it answers late; returns its response and time. */
-  async function sendSlow(path: string, hedgedShare?: number) {
-    fixture = new RelayFixture({ hedgedShare });
+   * to get it treats as `first` says and the second answers after a while. */
+  async function sendSlow(
+    path: string,
+    hedgedShare?: number,
+    first: RequestHandler = respondLate,
+  ) {
+    // The budget allows one retry or second send.
+    fixture = new RelayFixture({ hedgedShare, retryRatio: 0, retrySlack: 2 });
     let slowId = "";
-    const respondAtLast: RequestHandler = (request, res, socket) => {
-      const isFirst = request.id === slowId && sendCount() === 1;
-      setTimeout(() => respond(request, res, socket), isFirst ? SLOW_MS : 0);
+    const handler: RequestHandler = (request, res, socket) => {
+      if (request.id !== slowId) {
+        respond(request, res, socket);
+      } else if (received().length === 1) {
+        first(request, res, socket);
+      } else {
+        setTimeout(() => respond(request, res, socket), SECOND_MS);
+      }
     };
-    await fixture.start(respondAtLast, respondAtLast);
+    await fixture.start(handler, handler);
     for (let round = 0; round < 5; round += 1) {
       await Promise.all(
         [..."abcdefgh"].map((name) =>
@@ -40,10 +63,6 @@
     );
   }
 
-  function sendCount(): number {
-    return received().length;
-  }
-
   function lines(event: string): Record<string, unknown>[] {
     return fixture.logLines
       .map((line) => JSON.parse(line) as Record<string, unknown>)
@@ -68,6 +87,29 @@
     expect(lines("answered")[0]).to.include({ sends: 2 });
   });
 
+  const failures: [string, string, RequestHandler][] = [
+    ["fails", "failed", ({ id }, res) => {
+      res.writeHead(500, { "x-id": id, "x-signed": "1" }).end("error");
+    }],
+    ["is refused", "rejected", rejectAsNotRun],
+    ["is lost", "lost", resetConnection],
+  ];
+  for (const [name, outcome, fail] of failures) {
+    it(`is answered by the second endpoint if the first send ${name}`, async () => {
+      const { response } = await sendSlow("/safe/", 0.1, (...args) => {
+        setTimeout(() => fail(...args), FAILURE_MS);
+      });
+      expect(response).to.include({ status: 200, body: "answer to slow" });
+      expect(lines("send").map((line) => line.outcome)).to.deep.equal([
+        outcome,
+        "delivered",
+      ]);
+      expect(lines("hedge")[0]).to.include({ outcome: "second_won" });
+      expect(lines("repeat_denied")).to.have.length(0);
+      expect(received()).to.have.length(2);
+    });
+  }
+
   for (
     const [name, path, share] of [
       ["an unsafe request", "/unsafe/", 0.1],
@@ -78,7 +120,7 @@
       const { response, tookMs } = await sendSlow(path, share);
       expect(response.status).to.equal(200);
       expect(tookMs).to.be.at.least(SLOW_MS - 10);
-      expect(sendCount()).to.equal(1);
+      expect(received()).to.have.length(1);
     });
   }
 });
