dispatch: compare a request with the newest 32 of its kind

Cause: a percentile of up to 128 times of 30 s was that of a load that was over.

Change: the newest 32 times, from 20 on.

--- a/packages/dispatch/src/hedge_policy.ts
+++ b/packages/dispatch/src/hedge_policy.ts
@@ -25,18 +25,18 @@
   usualMs: number;
 }
 
-/** Times that are kept for each route and each service. */
-const MAX_TIMES = 128;
+/** Times that are kept for each route and each service: few, since those of a
+ * load that is over hide what is slow now. */
+const MAX_TIMES = 32;
 /** Times needed before a percentile is taken. */
-const MIN_TIMES = 32;
+const MIN_TIMES = 20;
 /** Age from which a time says nothing of the current load. */
 const MAX_TIME_AGE_MS = 30_000;
 /** Below this, requests differ by the network alone. */
 const MIN_DELAY_MS = 20;
-/** Bounds of the percentile: a smaller share of second sends goes to slower
- * requests, as far as the number of times allows. */
+/** Least percentile: a smaller share of second sends goes to slower requests, as
+ * far as the number of times allows. */
 const MIN_PERCENTILE = 0.9;
-const MAX_PERCENTILE = 0.99;
 /** Second sends that may be saved up, so that a long calm allows no burst. */
 const MAX_CREDIT = 2;
 /** Absorbs what adding up a share many times loses. */
@@ -91,10 +91,7 @@
     if (sorted === undefined) {
       return undefined;
     }
-    const fraction = Math.min(
-      MAX_PERCENTILE,
-      Math.max(MIN_PERCENTILE, 1 - this.#share),
-    );
+    const fraction = Math.max(MIN_PERCENTILE, 1 - this.#share);
     return {
       delayMs: Math.max(MIN_DELAY_MS, percentile(sorted, fraction)),
       usualMs: percentile(sorted, 0.5),
