--- a/packages/dispatch/src/version_gate.ts
+++ b/packages/dispatch/src/version_gate.ts
@@ -36,16 +36,9 @@
   }
 
   override choose(req: ChoiceRequest): Choice {
-    const filters = this.#gate.filters({
-      service: req.spec.name,
-      version: req.version,
-      isRetry: req.tried.size > 0,
-    });
     let choice: Choice = { refusal: "none_in_service" };
-    for (const isEligible of filters) {
-      choice = super.choose(
-        isEligible === undefined ? req : { ...req, isEligible },
-      );
+    for (const gated of this.#gated(req, { isRetry: req.tried.size > 0 })) {
+      choice = super.choose(gated);
       if (!("refusal" in choice)) {
         this.#gate.recordSent(choice.endpoint);
         break;
@@ -53,4 +46,29 @@
     }
     return choice;
   }
+
+  override chooseSpare(req: ChoiceRequest): ReturnType<
+    EndpointChooser["chooseSpare"]
+  > {
+    for (const gated of this.#gated(req, { isRetry: true })) {
+      const choice = super.chooseSpare(gated);
+      if (choice !== undefined) {
+        this.#gate.recordSent(choice.endpoint);
+        return choice;
+      }
+    }
+    return undefined;
+  }
+
+  /** The request with each of its filters. */
+  #gated(
+    req: ChoiceRequest,
+    { isRetry }: { isRetry: boolean },
+  ): ChoiceRequest[] {
+    return this.#gate
+      .filters({ service: req.spec.name, version: req.version, isRetry })
+      .map((isEligible) =>
+        isEligible === undefined ? req : { ...req, isEligible }
+      );
+  }
 }
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -280,6 +280,7 @@
         }),
       machine: settings.machine,
       retryLimits: settings.retryLimits,
+      hedgedShare: settings.hedgedShare,
       coldLimits: settings.coldLimits,
       exposureLimits: settings.exposureLimits,
       readinessPath,
--- a/packages/relay/src/attempt_tracker.ts
+++ b/packages/relay/src/attempt_tracker.ts
@@ -6,7 +6,6 @@
 } from "@limpetshed/dispatch";
 import type { RelayRequest } from "./relay_request.ts";
 import { mayHaveRun } from "./retry_guard.ts";
-import type { SendAttempt } from "./send_attempt.ts";
 import type { SendResult } from "./send_result.ts";
 
 /** Options of {@linkcode AttemptTracker}. */
@@ -31,16 +30,16 @@
    * at the endpoint when it was chosen. */
   async track(
     { service, account = "" }: RelayRequest,
-    attempt: SendAttempt,
+    pending: Promise<SendResult>,
     { load, slots }: { load: number; slots: number },
   ): Promise<SendResult> {
     const { clock, accountLoads, serviceLatency, executionTimes } =
       this.#options;
     const startMs = clock.monotonicMs();
     accountLoads.begin(service, account);
-    const result = await attempt.result;
+    const result = await pending;
     accountLoads.end(service, account);
-    if (mayHaveRun(result.outcome)) {
+    if (mayHaveRun(result.outcome) && result.sentMs !== undefined) {
       const durationMs = clock.monotonicMs() - startMs;
       serviceLatency.record(service, durationMs);
       executionTimes.record({ service, durationMs, load, slots });
