--- a/packages/dispatch/src/prefix_policy.ts
+++ b/packages/dispatch/src/prefix_policy.ts
@@ -104,7 +104,7 @@
     const copyFrom = holderKeys.has(endpoint.key) ||
         sharedTokenCount(prompt!) < MIN_COPY_TOKENS
       ? undefined
-      : this.#copySource(holderKeys, { endpoint, basis });
+      : this.#copySource(holderKeys);
     cacheIndex.recordCached({ partId: shared.id, endpoint: endpoint.key });
     return { endpoint, copyFrom };
   }
@@ -200,19 +200,15 @@
   }
 
   /** The first holder that is still known, whether or not it accepts new
-   * requests. If speeds are known, one in the endpoint's zone goes first: copies
-   * between zones take longer. */
-  #copySource(
-    holderKeys: ReadonlySet<string>,
-    { endpoint, basis }: { endpoint: Endpoint; basis: Basis },
-  ): Endpoint | undefined {
-    const { findEndpoint } = this.#options;
-    const known = [...holderKeys].map(findEndpoint)
-      .filter((holder) => holder !== undefined);
-    const near = known.find(({ entry }) =>
-      entry.availabilityZone === endpoint.entry.availabilityZone
-    );
-    return basis === "loads" ? known[0] : near ?? known[0];
+   * requests. */
+  #copySource(holderKeys: ReadonlySet<string>): Endpoint | undefined {
+    for (const key of holderKeys) {
+      const endpoint = this.#options.findEndpoint(key);
+      if (endpoint !== undefined) {
+        return endpoint;
+      }
+    }
+    return undefined;
   }
 
   /** For requests without a prompt: the least loaded endpoint, preferring this
