feat: follow endpoints' speeds only where the settings name uneven load

Cause: deployments whose settings ask for nothing new have endpoints that report a speed too; their requests were placed by it.

Evidence: load_tracker_test, "passes over what is said of speeds".

--- a/packages/dispatch/src/endpoint_speeds.ts
+++ b/packages/dispatch/src/endpoint_speeds.ts
@@ -64,13 +64,19 @@
  */
 export class EndpointSpeeds {
   readonly #clock: Clock;
+  readonly #isEnabled: boolean;
   readonly #samples = new Map<string, Sample[]>();
   /** Last report of each endpoint to this node that the other nodes have yet to
    * receive. */
   #own = new Map<string, { slowness: number; atMs: number }>();
 
-  constructor({ clock }: { clock: Clock }) {
+  constructor({ clock, isEnabled = true }: {
+    clock: Clock;
+    /** Whether reports are used; otherwise they are passed over. */
+    isEnabled?: boolean;
+  }) {
     this.#clock = clock;
+    this.#isEnabled = isEnabled;
   }
 
   /** Whether no endpoint has ever reported the figure. */
@@ -93,7 +99,7 @@
   /** Records that an endpoint told this node that work takes `slowness` times as
    * long as usual. */
   record(endpoint: string, slowness: number): void {
-    if (!(slowness > 0)) {
+    if (!this.#isEnabled || !(slowness > 0)) {
       return;
     }
     this.#add({ endpoint, slowness, ageMs: 0 });
@@ -105,7 +111,7 @@
   /** Merges what endpoints told other nodes. */
   applyPeerReports(reports: readonly SpeedReport[]): void {
     for (const report of reports) {
-      if (report.slowness > 0) {
+      if (this.#isEnabled && report.slowness > 0) {
         this.#add(report);
       }
     }
--- a/packages/dispatch/src/load_tracker.ts
+++ b/packages/dispatch/src/load_tracker.ts
@@ -33,9 +33,13 @@
    * add up all nodes again would cost nodes x endpoints for each message. */
   readonly #peerTotals = new Map<string, number>();
 
-  constructor({ clock }: { clock: Clock }) {
+  constructor({ clock, followsSpeeds = true }: {
+    clock: Clock;
+    /** Whether what endpoints say of their speed is used. */
+    followsSpeeds?: boolean;
+  }) {
     this.#clock = clock;
-    this.speeds = new EndpointSpeeds({ clock });
+    this.speeds = new EndpointSpeeds({ clock, isEnabled: followsSpeeds });
   }
 
   /** Records that this node starts a request to `endpoint`. */
--- a/packages/dispatch/tests/load_tracker_test.ts
+++ b/packages/dispatch/tests/load_tracker_test.ts
@@ -26,6 +26,17 @@
       .equal([4, 0]);
   });
 
+  it("passes over what is said of speeds unless it follows them", () => {
+    const report = { running: 1, waiting: 1, slots: 8, slowness: 3 };
+    const clock = new ManualClock();
+    const loads = new LoadTracker({ clock, followsSpeeds: false });
+    loads.recordReport("e1", report);
+    loads.speeds.applyPeerReports([{ endpoint: "e2", slowness: 3, ageMs: 0 }]);
+    expect([loads.totalInFlight("e1"), loads.speeds.isEmpty]).to.deep
+      .equal([2, true]);
+    expect(loads.speeds.takeReports()()).to.deep.equal([]);
+  });
+
   it("uses an endpoint's report if it exceeds the nodes' counts", async () => {
     const clock = new ManualClock();
     const loads = new LoadTracker({ clock });
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -279,7 +279,7 @@
           random: () => this.#rng.fraction(),
         }),
       machine: settings.machine,
-      judgesScarceSlots: settings.judgesScarceSlots,
+      hasUnevenLoad: settings.hasUnevenLoad,
       retryLimits: settings.retryLimits,
       hedgedShare: settings.hedgedShare,
       coldLimits: settings.coldLimits,
--- a/packages/fleet_relay/src/fleet_relay_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -30,9 +30,10 @@
   seeds: readonly string[];
   /** Whether the whole fleet starts for the first time. */
   isFirstStart: boolean;
-  /** Whether requests of services with fewer slots than nodes are judged by the
-   * load of the whole service; false by default. */
-  judgesScarceSlots?: boolean;
+  /** Whether demand and endpoints are uneven: then requests of services with fewer
+   * slots than nodes are judged by the load of the whole service, and endpoints by
+   * the speed that they report. False by default. */
+  hasUnevenLoad?: boolean;
   /** What the node's machine has; defaults if undefined. */
   machine?: MachineLimits;
   /** Grace period of a planned stop, milliseconds. */
--- a/packages/relay/src/make_chooser.ts
+++ b/packages/relay/src/make_chooser.ts
@@ -26,7 +26,7 @@
   random: () => number;
   /** Whether requests of services with fewer slots than nodes are judged by the
    * load of the whole service. */
-  judgesScarceSlots: boolean;
+  hasUnevenLoad: boolean;
   pool: Pick<ConnectionPool, "openCount">;
   /** Ids of all nodes that may be running, including this one. */
   nodeIds: () => readonly string[];
@@ -45,7 +45,7 @@
     random,
     pool,
     nodeIds,
-    judgesScarceSlots,
+    hasUnevenLoad,
     ...options
   }: MakeChooserOptions,
 ): EndpointChooser {
@@ -55,7 +55,7 @@
       loads: options.loads,
       latency: options.latency,
       accounts,
-      scarceSlots: judgesScarceSlots
+      scarceSlots: hasUnevenLoad
         ? new ScarceSlots({
           loads: new RecentLoads(options),
           executionTimes,
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -90,7 +90,11 @@
     this.clientResources = new ClientResources({ clock, machine });
     this.#shutdown = new GracefulShutdown({ clock });
     const changes = new ChangeLogger(options);
-    this.endpointLoads = new LoadTracker({ clock });
+    const { hasUnevenLoad = false } = options;
+    this.endpointLoads = new LoadTracker({
+      clock,
+      followsSpeeds: hasUnevenLoad,
+    });
     this.prefixCacheIndex = new PrefixCacheIndex({ clock });
     this.crashSuspects = makeCrashSuspects(options);
     this.endpointLimiter = new EndpointLimiter({
@@ -301,7 +305,7 @@
       gate: this.versionRollouts,
       executionTimes: this.#executionTimes,
       random: this.#options.random,
-      judgesScarceSlots: this.#options.judgesScarceSlots ?? false,
+      hasUnevenLoad: this.#options.hasUnevenLoad ?? false,
       pool: this.endpointLinks.pool,
       nodeIds,
     });
--- a/packages/relay/src/relay_node_options.ts
+++ b/packages/relay/src/relay_node_options.ts
@@ -24,9 +24,10 @@
   /** Time without a message from another node after which what it said last no
    * longer holds. */
   peerTimeoutMs: () => number;
-  /** Whether requests of services with fewer slots than nodes are judged by the
-   * load of the whole service; false by default. */
-  judgesScarceSlots?: boolean;
+  /** Whether demand and endpoints are uneven: then requests of services with fewer
+   * slots than nodes are judged by the load of the whole service, and endpoints by
+   * the speed that they report. False by default. */
+  hasUnevenLoad?: boolean;
   /** What this node's machine has; bounds what is held for clients. */
   machine?: MachineLimits;
   format: WireFormat;
