--- a/packages/dispatch/tests/version_rollouts_test.ts
+++ b/packages/dispatch/tests/version_rollouts_test.ts
@@ -42,6 +42,12 @@
     { isTarget, index, normal, random },
   ) =>
     isTarget && index === 0 ? { ...normal, isFailed: random() < 0.5 } : normal,
+  "two of the canary's endpoints in trouble": (
+    { isTarget, index, normal, random },
+  ) =>
+    isTarget && (index === 0 || index === 2)
+      ? { ...normal, isFailed: random() < 0.5 }
+      : normal,
   "caches that are empty": ({ isTarget, normal }) =>
     isTarget ? { ...normal, durationMs: 1.7 * normal.durationMs } : normal,
 };
