--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -25,14 +25,22 @@
 export { promptTraits } from "./crash_traits.ts";
 export type { LostResponse } from "./lost_responses.ts";
 export type { CrashSuspect } from "./suspect_traits.ts";
+export type {
+  Choice,
+  ChoiceRequest,
+  NoChoice,
+  NoChoiceReason,
+} from "./endpoint_choice.ts";
 export {
-  type Choice,
-  type ChoiceRequest,
   EndpointChooser,
   type EndpointChooserOptions,
-  type NoChoice,
-  type NoChoiceReason,
 } from "./endpoint_chooser.ts";
+export {
+  type HedgeKind,
+  HedgePolicy,
+  type HedgePolicyOptions,
+  type HedgeTimes,
+} from "./hedge_policy.ts";
 export { EndpointLimiter } from "./endpoint_limiter.ts";
 export type {
   LimitChange,
@@ -48,6 +56,13 @@
   DeferredRemovals,
   REREGISTRATION_GRACE_MS,
 } from "./deferred_removals.ts";
+export { chooseSpread, type SpreadOptions } from "./choose_spread.ts";
+export type { EndpointLoad } from "./endpoint_load.ts";
+export {
+  EndpointSpeeds,
+  type SpeedEstimate,
+  type SpeedReport,
+} from "./endpoint_speeds.ts";
 export type { EndpointEntry } from "./endpoint_entry.ts";
 export {
   EndpointPaths,
@@ -102,9 +117,34 @@
   type RetryUsage,
 } from "./retry_budget.ts";
 export { SlidingWindowCounter } from "./sliding_window_counter.ts";
+export { type ExecutedRequest, ExecutionTimes } from "./execution_times.ts";
+export { RecentLoads, type RecentLoadsOptions } from "./recent_loads.ts";
+export {
+  hasScarceSlots,
+  type ScarceRequest,
+  ScarceSlots,
+  type ScarceSlotsOptions,
+  type ScarceWait,
+} from "./scarce_slots.ts";
 export { OutlierDetector } from "./outlier_detector.ts";
 export {
   type PrefixCacheRecovery,
   type PrefixCacheRecoveryOptions,
   recoverPrefixCache,
 } from "./prefix_cache_recovery.ts";
+export type {
+  AnswerCell,
+  ExposureLimits,
+  RolloutOrder,
+  RolloutReport,
+  RolloutState,
+  RolloutStatus,
+} from "./rollout_report.ts";
+export { GatedChooser, VersionGate } from "./version_gate.ts";
+export {
+  type RolloutChange,
+  type VersionAnswer,
+  VersionRollouts,
+  type VersionRolloutsOptions,
+  type WantedStatus,
+} from "./version_rollouts.ts";
--- a/packages/dispatch/tests/endpoint_chooser_test.ts
+++ b/packages/dispatch/tests/endpoint_chooser_test.ts
@@ -5,10 +5,7 @@
 import { LeastLoadedPolicy } from "../src/baseline_policies.ts";
 import { BrittleEndpoints } from "../src/brittle_endpoints.ts";
 import { ColdStartLimiter } from "../src/cold_start_limiter.ts";
-import {
-  type ChoiceRequest,
-  EndpointChooser,
-} from "../src/endpoint_chooser.ts";
+import type { ChoiceRequest } from "../src/endpoint_choice.ts";
 import { EndpointLimiter } from "../src/endpoint_limiter.ts";
 import { EndpointRests } from "../src/endpoint_rests.ts";
 import { EndpointRegistry } from "../src/endpoint_registry.ts";
@@ -17,8 +14,28 @@
 import { ServiceLatency } from "../src/service_latency.ts";
 import { ServiceVersions } from "../src/service_versions.ts";
 import { OutlierDetector } from "../src/outlier_detector.ts";
+import { GatedChooser, VersionGate } from "../src/version_gate.ts";
+import type { EndpointFilter } from "../src/version_rollout.ts";
 import { entry, hashingReady, spec } from "./fixtures.ts";
 
+/** Applies the same filters to all requests. */
+class FixedGate extends VersionGate {
+  filterList: readonly (EndpointFilter | undefined)[] = [undefined];
+  readonly sent: string[] = [];
+
+  override filters() {
+    return this.filterList;
+  }
+
+  override recordSent({ entry: { id } }: { entry: { id: string } }): void {
+    this.sent.push(id);
+  }
+}
+
+function only(id: string): EndpointFilter {
+  return ({ entry }) => entry.id === id;
+}
+
 const SLOTS = 4;
 const MEAN_DURATION_MS = 1_000;
 
@@ -57,8 +74,11 @@
     nodeId: "n1",
     nodeIds: () => ["n1"],
   });
-  const chooser = new EndpointChooser({
+  const outlierDetector = new OutlierDetector({ clock });
+  const gate = new FixedGate();
+  const chooser = new GatedChooser({
     clock,
+    gate,
     registry,
     policy: new LeastLoadedPolicy({ loads }),
     coldStartLimiter: new ColdStartLimiter({
@@ -71,7 +91,7 @@
     rests,
     latency,
     nodeCount: () => 1,
-    outlierDetector: new OutlierDetector({ clock }),
+    outlierDetector,
     versions: new ServiceVersions({ clock, registry }),
     brittleEndpoints,
     loads,
@@ -100,9 +120,54 @@
     });
     return "refusal" in choice ? choice.refusal : choice.endpoint.entry.id;
   };
-  return { choose, endpointLimiter };
+  const chooseSpare = (tried: readonly string[] = []) =>
+    chooser.chooseSpare({
+      spec: spec(),
+      prompt: undefined,
+      tried: new Set(tried),
+      overloadInput: {
+        account: "a",
+        priority: 0,
+        targetLatencyMs: 300,
+        leftMs: 5_000,
+      },
+    })?.endpoint.entry.id;
+  return {
+    choose,
+    chooseSpare,
+    endpointLimiter,
+    gate,
+    outlierDetector,
+    rests,
+  };
 }
 
+describe("EndpointChooser for a second send", () => {
+  before(() => hashingReady);
+
+  it("chooses another endpoint with a free slot", () => {
+    const { chooseSpare } = setUp({ e1: 0, e2: 3, e3: 4 });
+    expect(chooseSpare(["e1/1"])).to.equal("e2");
+  });
+
+  it("chooses none that is full, though a retry would wait there", () => {
+    const { choose, chooseSpare } = setUp({ e1: 0, e2: 4 });
+    expect(choose({}, ["e1/1"])).to.equal("e2");
+    expect(chooseSpare(["e1/1"])).to.equal(undefined);
+  });
+
+  it("chooses none that is an outlier, rests, or has no request left", () => {
+    const { chooseSpare, outlierDetector, rests } = setUp(
+      { e1: 0, e2: 0, e3: 0, e4: 0 },
+      { e4: 0 },
+    );
+    outlierDetector.recordConnectionFailure("e2/1");
+    rests.recordNamed("e3/1", 3_000);
+    expect(chooseSpare(["e1/1"])).to.equal(undefined);
+    expect(chooseSpare()).to.equal("e1");
+  });
+});
+
 describe("EndpointChooser under overload", () => {
   before(() => hashingReady);
 
@@ -192,3 +257,29 @@
     expect(choose({}, ["e1/1"])).to.equal("endpoint_limit");
   });
 });
+
+describe("GatedChooser", () => {
+  before(() => hashingReady);
+
+  it("takes the first filter that leaves an endpoint with room", () => {
+    const { choose, gate } = setUp({ e1: 0, e2: 0, e3: 0 }, { e2: 0 });
+    gate.filterList = [only("e2"), only("e3")];
+    expect(choose()).to.equal("e3");
+    gate.filterList = [only("e1"), only("e3")];
+    expect(choose()).to.equal("e1");
+    gate.filterList = [only("e2")];
+    expect(choose()).to.equal("endpoint_limit");
+    gate.filterList = [only("e9")];
+    expect(choose()).to.equal("none_in_service");
+    expect(gate.sent).to.deep.equal(["e3", "e1"]);
+  });
+
+  it("applies them to a second send, and counts it", () => {
+    const { chooseSpare, gate } = setUp({ e1: 0, e2: 0, e3: 0 });
+    gate.filterList = [only("e9"), only("e3")];
+    expect(chooseSpare()).to.equal("e3");
+    gate.filterList = [only("e9")];
+    expect(chooseSpare()).to.equal(undefined);
+    expect(gate.sent).to.deep.equal(["e3"]);
+  });
+});
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,6 +4,11 @@
   LoadExchange,
   type LoadExchangeOptions,
 } from "./load_exchange.ts";
+export {
+  decodeSpeedMessage,
+  encodeSpeedMessage,
+  type SpeedEntry,
+} from "./speed_message.ts";
 export { decodeUpdate } from "./decode_update.ts";
 export {
   decodeLimitMessage,
@@ -61,3 +66,21 @@
   type StoreConnectivity,
   type WatcherCandidate,
 } from "./choose_watchers.ts";
+export {
+  decodeRolloutMessage,
+  encodeRolloutMessage,
+  type RolloutCellEntry,
+  type RolloutReportEntry,
+} from "./rollout_message.ts";
+export {
+  type ConditionalStore,
+  type ConditionalWrite,
+  RolloutStatusWriter,
+  type RolloutStatusWriterOptions,
+  type StatusWish,
+} from "./rollout_status_writer.ts";
+export {
+  FANOUT,
+  ROUND_INTERVAL_MS,
+  roundsToReachAll,
+} from "./broadcast_schedule.ts";
--- a/packages/fleet_relay/src/fleet_relay_settings.ts
+++ b/packages/fleet_relay/src/fleet_relay_settings.ts
@@ -1,4 +1,9 @@
-import type { ColdStartLimits, RetryLimits } from "@limpetshed/dispatch";
+import type {
+  ColdStartLimits,
+  ExposureLimits,
+  RetryLimits,
+} from "@limpetshed/dispatch";
+import type { MachineLimits } from "@limpetshed/relay";
 
 /** Startup settings of a fleet node. */
 export interface FleetRelaySettings {
@@ -25,6 +30,12 @@
   seeds: readonly string[];
   /** Whether the whole fleet starts for the first time. */
   isFirstStart: boolean;
+  /** Whether demand and endpoints are uneven: then requests of services with fewer
+   * slots than nodes are judged by the load of the whole service, and endpoints by
+   * the speed that they report. False by default. */
+  hasUnevenLoad?: boolean;
+  /** What the node's machine has; defaults if undefined. */
+  machine?: MachineLimits;
   /** Grace period of a planned stop, milliseconds. */
   graceMs: number;
   /** Time for which a leaving endpoint still accepts requests, milliseconds; none
@@ -33,9 +44,15 @@
   /** Load bound of an endpoint, as a multiple of the mean load. */
   loadMultiple: number;
   retryLimits: RetryLimits;
+  /** Slow requests of a service that may be sent a second time, as a share of its
+   * requests, 0 to 1; none by default. */
+  hedgedShare?: number;
   /** Limits on requests to a cold endpoint: one that has started recently and
    * cannot serve its full rate yet. */
   coldLimits: ColdStartLimits;
+  /** Bounds on what the target of a rollout may get before it is known to be
+   * good. */
+  exposureLimits?: ExposureLimits;
   /** Time within which a change of shared state must be in force, milliseconds. */
   propagationMs: number;
 }
--- a/packages/fleet_relay/src/update_gauges.ts
+++ b/packages/fleet_relay/src/update_gauges.ts
@@ -18,6 +18,11 @@
 ): void {
   metrics.gauge("limpetshed_log_lines_dropped", droppedLogLines);
   metrics.gauge("limpetshed_in_flight", node.inFlight);
+  const { memory, connections } = node.clientResources;
+  metrics.gauge("limpetshed_held_bytes", memory.heldBytes);
+  metrics.gauge("limpetshed_memory_evictions", memory.evictionCount);
+  metrics.gauge("limpetshed_client_connections", connections.openCount);
+  metrics.gauge("limpetshed_connections_shed", connections.shedCount);
   metrics.gauge("limpetshed_config_version", node.config.version);
   metrics.gauge("limpetshed_state_revision", state.mirror.asOf);
   metrics.gauge("limpetshed_store_era", state.mirror.era);
@@ -30,6 +35,8 @@
   metrics.gauge("limpetshed_nodes", directory.nodeIds().length);
   const { inForce } = node.endpointLimiter.limits;
   metrics.gauges("limpetshed_endpoint_limit", "endpoint", inForce);
+  const { lasting } = node.endpointLoads.speeds;
+  metrics.gauges("limpetshed_endpoint_slowness", "endpoint", lasting);
   metrics.gauge("limpetshed_resting_endpoints", node.rests.restingCount);
   const { refusedTraits } = node.crashSuspects;
   metrics.gauge("limpetshed_refused_traits", refusedTraits.length);
--- a/packages/observe/src/relay_metrics.ts
+++ b/packages/observe/src/relay_metrics.ts
@@ -48,6 +48,16 @@
     ["reason"],
     "Requests that were not retried after a failed attempt, by reason.",
   ),
+  limpetshed_hedges_total: row(
+    "counter",
+    ["outcome"],
+    "Slow requests that were sent a second time, by which attempt answered.",
+  ),
+  limpetshed_hedges_denied_total: row(
+    "counter",
+    ["reason"],
+    "Slow requests that were not sent a second time, by reason.",
+  ),
   limpetshed_not_placed_total: row(
     "counter",
     ["reason"],
@@ -78,6 +88,11 @@
     ["origin"],
     "Streams that clients resume, by how it was found where they began.",
   ),
+  limpetshed_rollout_steps_total: row(
+    "counter",
+    ["step"],
+    "Steps of version rollouts at this node.",
+  ),
   limpetshed_path_changes_total: row(
     "counter",
     ["path"],
@@ -119,6 +134,26 @@
     "Time from the arrival of a request to the end of its response.",
   ),
   limpetshed_in_flight: row("gauge", [], "Requests in flight."),
+  limpetshed_held_bytes: row(
+    "gauge",
+    [],
+    "Memory charged for bodies of requests and unread responses, bytes.",
+  ),
+  limpetshed_memory_evictions: row(
+    "gauge",
+    [],
+    "Bodies and unread responses given up since process start to make room for others.",
+  ),
+  limpetshed_client_connections: row(
+    "gauge",
+    [],
+    "Open connections of clients.",
+  ),
+  limpetshed_connections_shed: row(
+    "gauge",
+    [],
+    "Connections of clients closed since process start to make room for others.",
+  ),
   limpetshed_config_version: row("gauge", [], "Active configuration version."),
   limpetshed_state_revision: row("gauge", [], "Revision of the shared state."),
   limpetshed_store_era: row(
@@ -151,6 +186,11 @@
     [],
     "Prompt parts and requests refused because endpoints crashed while running them.",
   ),
+  limpetshed_endpoint_slowness: row(
+    "gauge",
+    ["endpoint"],
+    "How long work takes at an endpoint once disturbances of the moment are over, as a multiple of the usual time; absent while it says nothing of its speed.",
+  ),
   limpetshed_endpoint_limit: row(
     "gauge",
     ["endpoint"],
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -16,7 +16,7 @@
   RelayServer,
   type RelayServerOptions,
 } from "./relay_server.ts";
-export type { RelayRequest } from "./relay_request.ts";
+export type { AbortReason, RelayRequest } from "./relay_request.ts";
 export { RelayObserver, type SendRecord } from "./relay_observer.ts";
 export type { SendResult } from "./send_result.ts";
 export { parseRetryAfter } from "./parse_retry_after.ts";
@@ -28,7 +28,8 @@
 } from "./wire_format.ts";
 export type { PolicyDependencies } from "./policy_dependencies.ts";
 export { type OwnResponse } from "./own_requests.ts";
-export { RelayNode, type RelayNodeOptions } from "./relay_node.ts";
+export { RelayNode } from "./relay_node.ts";
+export type { RelayNodeOptions } from "./relay_node_options.ts";
 export {
   TelemetryObserver,
   type TelemetryObserverOptions,
@@ -51,4 +52,8 @@
   StreamOriginResolver,
   type StreamOriginResolverOptions,
 } from "./stream_origin_resolver.ts";
+export {
+  DEFAULT_MACHINE_LIMITS,
+  type MachineLimits,
+} from "./client_resources.ts";
 export { MetricsServer } from "./metrics_server.ts";
--- a/packages/relay/src/relay_node.ts
+++ b/packages/relay/src/relay_node.ts
@@ -1,80 +1,47 @@
-import type { Clock } from "@limpetshed/base";
 import {
   AccountLoads,
   BrittleEndpoints,
   ColdStartLimiter,
-  type ColdStartLimits,
   type CrashSuspects,
   type Endpoint,
   type EndpointChooser,
   EndpointLimiter,
-  type EndpointPolicy,
   EndpointRegistry,
   EndpointRests,
+  ExecutionTimes,
+  HedgePolicy,
   LoadTracker,
   OutlierDetector,
   PrefixCacheIndex,
   RetryBudget,
-  type RetryLimits,
   ServiceLatency,
   ServiceVersions,
   StreamOrigins,
+  VersionRollouts,
 } from "@limpetshed/dispatch";
-import type { Logger } from "@limpetshed/observe";
 import { CurrentConfig } from "@limpetshed/routing";
+import { ClientResources, DEFAULT_MACHINE_LIMITS } from "./client_resources.ts";
+import { AttemptTracker } from "./attempt_tracker.ts";
 import { ChangeLogger } from "./change_logger.ts";
 import { makeChooser } from "./make_chooser.ts";
 import { makeCrashSuspects } from "./make_crash_suspects.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import { DirectConnector } from "./direct_connector.ts";
 import { drainServer } from "./drain_server.ts";
-import type { EndpointConnector } from "./endpoint_connector.ts";
 import { EndpointLinks } from "./endpoint_links.ts";
 import { GracefulShutdown } from "./graceful_shutdown.ts";
-import { type HelperTunnels, NoTunnels } from "./helper_tunnels.ts";
+import { NoTunnels } from "./helper_tunnels.ts";
 import { LeavingRecorder } from "./leaving_recorder.ts";
 import { LimitRecorder } from "./limit_recorder.ts";
 import { OwnRequests } from "./own_requests.ts";
-import type { PolicyDependencies } from "./policy_dependencies.ts";
 import { ReadinessServer } from "./readiness_server.ts";
-import type { RelayObserver } from "./relay_observer.ts";
+import type { RelayNodeOptions } from "./relay_node_options.ts";
 import { RelayServer } from "./relay_server.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { RestRecorder } from "./rest_recorder.ts";
 import { RetryGuard } from "./retry_guard.ts";
 import { ALWAYS_CONFIRMED, type StateView } from "./state_view.ts";
 import { StreamOriginResolver } from "./stream_origin_resolver.ts";
-import type { WireFormat } from "./wire_format.ts";
-
-/** Options of {@linkcode RelayNode}. */
-export interface RelayNodeOptions {
-  clock: Clock;
-  logger: Logger;
-  nodeId: string;
-  /** Ids of all nodes that may be running, including this one. */
-  nodeIds: () => readonly string[];
-  /** Time without a message from another node after which what it said last no
-   * longer holds. */
-  peerTimeoutMs: () => number;
-  format: WireFormat;
-  observer: RelayObserver;
-  /** How current this node's view of the shared state is; always current if
-   * undefined. */
-  view?: StateView;
-  /** Opens connections to endpoints over this node's own links. */
-  directConnector?: EndpointConnector;
-  /** Opens connections by way of other nodes; there are none if undefined. */
-  tunnels?: HelperTunnels;
-  makePolicy: (dependencies: PolicyDependencies) => EndpointPolicy;
-  retryLimits: RetryLimits;
-  /** Limits on requests to a cold endpoint: one that has started recently and
-   * cannot serve its full rate yet. */
-  coldLimits: ColdStartLimits;
-  readinessPath: string;
-  /** Returns a number in `[0, 1)`, drawn once per request to pick a weighted
-   * target. */
-  random: () => number;
-}
 
 /** Time until the entry of an endpoint that ended lapses: several missed
  * heartbeats, which endpoints send each second. */
@@ -99,11 +66,14 @@
   /** Where streams began that clients may resume. */
   readonly streamOrigins: StreamOrigins;
   readonly serviceVersions: ServiceVersions;
+  readonly versionRollouts: VersionRollouts;
   readonly endpointLinks: EndpointLinks;
+  readonly clientResources: ClientResources;
   readonly #options: RelayNodeOptions & { view: StateView };
   readonly #outlierDetector: OutlierDetector;
   readonly #serviceLatency = new ServiceLatency();
   readonly #accountLoads = new AccountLoads();
+  readonly #executionTimes = new ExecutionTimes();
   readonly #coldStartLimiter: ColdStartLimiter;
   readonly #brittleEndpoints: BrittleEndpoints;
   readonly #server: RelayServer;
@@ -111,11 +81,20 @@
   readonly #shutdown: GracefulShutdown;
 
   constructor(options: RelayNodeOptions) {
-    const { clock, view = ALWAYS_CONFIRMED } = options;
+    const {
+      clock,
+      view = ALWAYS_CONFIRMED,
+      machine = DEFAULT_MACHINE_LIMITS,
+    } = options;
     this.#options = { ...options, view };
+    this.clientResources = new ClientResources({ clock, machine });
     this.#shutdown = new GracefulShutdown({ clock });
     const changes = new ChangeLogger(options);
-    this.endpointLoads = new LoadTracker({ clock });
+    const { hasUnevenLoad = false } = options;
+    this.endpointLoads = new LoadTracker({
+      clock,
+      followsSpeeds: hasUnevenLoad,
+    });
     this.prefixCacheIndex = new PrefixCacheIndex({ clock });
     this.crashSuspects = makeCrashSuspects(options);
     this.endpointLimiter = new EndpointLimiter({
@@ -177,6 +156,13 @@
       clock,
       registry: this.registry,
     });
+    this.versionRollouts = new VersionRollouts({
+      ...options,
+      registry: this.registry,
+      loads: this.endpointLoads,
+      limits: options.exposureLimits ?? { share: 0, slack: 0 },
+      onChange: (change) => options.observer.rolloutChanged(change),
+    });
     this.#server = new RelayServer({
       clock,
       config: this.config,
@@ -184,6 +170,7 @@
       forwarder: this.#makeForwarder(),
       observer: options.observer,
       shutdown: this.#shutdown,
+      resources: this.clientResources,
       originResolver: new StreamOriginResolver({
         clock,
         origins: this.streamOrigins,
@@ -256,6 +243,7 @@
       this.#options;
     return new RequestForwarder({
       clock,
+      hedgePolicy: new HedgePolicy({ clock, share: this.#options.hedgedShare }),
       chooser: this.#makeChooser(),
       endpointLoads: this.endpointLoads,
       outlierDetector: this.#outlierDetector,
@@ -288,8 +276,12 @@
       versions: this.serviceVersions,
       registry: this.registry,
       view,
-      serviceLatency: this.#serviceLatency,
-      accountLoads: this.#accountLoads,
+      attemptTracker: new AttemptTracker({
+        clock,
+        accountLoads: this.#accountLoads,
+        serviceLatency: this.#serviceLatency,
+        executionTimes: this.#executionTimes,
+      }),
       routeTable: () => this.config.table,
     });
   }
@@ -310,6 +302,10 @@
       loads: endpointLoads,
       latency: this.#serviceLatency,
       accounts: this.#accountLoads,
+      gate: this.versionRollouts,
+      executionTimes: this.#executionTimes,
+      random: this.#options.random,
+      hasUnevenLoad: this.#options.hasUnevenLoad ?? false,
       pool: this.endpointLinks.pool,
       nodeIds,
     });
--- a/packages/relay/src/telemetry_observer.ts
+++ b/packages/relay/src/telemetry_observer.ts
@@ -3,6 +3,7 @@
   NoChoice,
   PathState,
   RetryUsage,
+  RolloutChange,
   SendOutcome,
 } from "@limpetshed/dispatch";
 import type { RouterError } from "@limpetshed/errors";
@@ -12,6 +13,8 @@
   type RelayMetrics,
 } from "@limpetshed/observe";
 import {
+  type HedgeDenial,
+  type HedgeRecord,
   RelayObserver,
   type RetryDenial,
   type SendRecord,
@@ -137,6 +140,27 @@
     }));
   }
 
+  hedged(
+    request: RelayRequest,
+    { endpoints, afterMs, tookMs, outcome }: HedgeRecord,
+  ): void {
+    this.#metrics.count("limpetshed_hedges_total", { outcome });
+    this.#log("hedge", () => ({
+      requestId: loggableId(request.requestId),
+      event: "hedge",
+      outcome,
+      route: request.route.name,
+      service: request.service,
+      endpointIds: endpoints.map(({ entry }) => entry.id),
+      afterMs: Math.round(afterMs),
+      tookMs: Math.round(tookMs),
+    }));
+  }
+
+  hedgeDenied(_request: RelayRequest, denial: HedgeDenial): void {
+    this.#metrics.count("limpetshed_hedges_denied_total", { reason: denial });
+  }
+
   noEndpointChosen(
     request: RelayRequest,
     { refusal, waitMs, trait }: NoChoice,
@@ -171,6 +195,18 @@
     this.#metrics.count("limpetshed_path_changes_total", { path: state });
   }
 
+  rolloutChanged({ order, step, exposed }: RolloutChange): void {
+    this.#metrics.count("limpetshed_rollout_steps_total", { step });
+    this.#logger.info({
+      event: "rollout",
+      outcome: step,
+      service: order.service,
+      target: order.target,
+      orderRevision: order.revision,
+      exposed,
+    });
+  }
+
   originResolved(
     { source, requestId, firstRequestId, versions, waitedMs, viewAgeMs }:
       OriginLookup,
