--- a/review/support-2/case.js
+++ b/review/support-2/case.js
@@ -84,6 +84,8 @@
 export function checkNodes({ fleet }) {
   const ended = fleet.nodes.find(({ ends }) => ends.length > 0);
   if (ended !== undefined) {
-    throw new SetupError(`${ended.name} ended by itself`);
+    throw new SetupError(
+      `${ended.name} ended by itself: ${ended.lastError()}`,
+    );
   }
 }
--- a/review/support-2/store.js
+++ b/review/support-2/store.js
@@ -1,5 +1,5 @@
 // Stand-in for the platform's metadata store: one revision counter, leases,
-// watches. It can be down (calls get no response) while leases expire.
+// watches. It can be down (calls get no response), and come back from a copy.
 import { Buffer } from "node:buffer";
 import * as http from "node:http";
 
@@ -13,6 +13,7 @@
   #nextLease = 1;
   #waiters = new Set();
   #isDown = false;
+  #era = 1;
   #server;
 
   listen(host) {
@@ -39,13 +40,35 @@
     this.#isDown = true;
   }
 
-  /** Ends all leases, as may happen while the store is down. */
-  expireLeases() {
-    [...this.#leases.keys()].forEach((lease) => this.#expire(lease));
+  /** A copy of all that it holds now. */
+  copy() {
+    return {
+      items: new Map(this.#items),
+      leases: new Map(
+        [...this.#leases].map(([id, { ttlMs }]) => [id, ttlMs]),
+      ),
+      history: [...this.#history],
+      revision: this.#revision,
+      nextLease: this.#nextLease,
+    };
   }
 
-  comeBack() {
+  /** Comes back from a copy: what was written since is gone, leases too. Revisions
+   * and leases are given out again, and a new era begins. */
+  comeBackFrom({ items, leases, history, revision, nextLease }) {
+    this.#leases.forEach(({ timer }) => clearTimeout(timer));
+    this.#leases.clear();
+    this.#items = new Map(items);
+    this.#history = [...history];
+    this.#revision = revision;
+    this.#nextLease = nextLease;
+    for (const [id, ttlMs] of leases) {
+      this.#leases.set(id, { ttlMs, timer: undefined });
+      this.#renew(id);
+    }
+    this.#era += 1;
     this.#isDown = false;
+    [...this.#waiters].forEach((notify) => notify());
   }
 
   get isDown() {
@@ -105,11 +128,15 @@
     }
     const url = new URL(req.url, "http://store");
     const fields = body.length === 0 ? {} : JSON.parse(body.toString());
+    const era = this.#era;
     const [status, answer] = await this.#route(url, fields);
     if (this.#isDown) {
       return;
     }
-    res.writeHead(status, { "content-type": "application/json" });
+    res.writeHead(era === this.#era ? status : 410, {
+      "content-type": "application/json",
+      "store-era": String(this.#era),
+    });
     res.end(JSON.stringify(answer));
   }
 
