review: settings of the harness are written before a node starts

Cause: the harness of cases 6 to 10 wrote a node's settings file anew just after its start, and the node could read half of it and end: two runs of case 8 could not run.

Change: it writes the file before the start.

--- a/review/support-2/nodes.js
+++ b/review/support-2/nodes.js
@@ -106,7 +106,6 @@
             firstStart,
           }),
         );
-      write(true);
       this.nodes.push(
         new RelayProcess({
           name,
@@ -115,7 +114,7 @@
           ip,
           front,
           ready,
-          onStarted: () => write(false),
+          writeSettings: write,
         }),
       );
     });
@@ -154,6 +153,7 @@
   /** How the process ended by itself, if it did. */
   ends = [];
   #isKilled = false;
+  #startCount = 0;
 
   constructor(options) {
     this.#options = options;
@@ -178,6 +178,9 @@
   }
 
   start() {
+    // Before the start: the process must not read half a file.
+    this.#options.writeSettings(this.#startCount === 0);
+    this.#startCount += 1;
     const [program, ...args] = deployCommand();
     const { PATH, HOME, LANG } = process.env;
     const child = spawn(program, args, {
@@ -199,7 +202,6 @@
       }
       log.end();
     });
-    this.#options.onStarted();
   }
 
   signal(name) {
