fix: acknowledge and copy reports of where streams began

What callers saw: the node that writes for the others where streams began lost power, or stood still; 1.4 s later another node was killed.

Cause: a stream's version was known to its own node and, by one datagram that nobody acknowledged, to the writer.

Fix: the writer acknowledges what the store has acknowledged. Without that the author reports to the next node after 300 ms and prefers others to the silent one for 2 s. A second node of the order holds a copy and writes it after 400 ms if the store has none, so the author's loss no longer matters. Nothing else is written while nothing fails. Nodes of earlier releases ignore the new fields and acknowledge nothing; the mirror does for them.

older_messages_test reads the same report in its new shape and also checks that such a report expects no acknowledgment.

--- a/packages/dispatch/src/stream_origins.ts
+++ b/packages/dispatch/src/stream_origins.ts
@@ -27,8 +27,12 @@
 export const STREAM_RETENTION_MS = 60_000;
 /** Takes a few megabytes of memory at about 150 bytes for each stream. */
 const DEFAULT_MAX_STREAMS = 50_000;
-/** Time after which a report that has not reached the store is sent again; several
- * times as long as it takes. */
+/** Time after which a report that was not acknowledged goes to another node. It
+ * takes a third of this if nothing is lost, and streams last some times longer. */
+const REPORT_TIMEOUT_MS = 300;
+/** Reports of a stream after which the store rather than a node is in trouble. */
+const MAX_PROMPT_REPORTS = 3;
+/** Interval of further reports of it. */
 const REPORT_RETRY_MS = 1_000;
 /** Radix of the shortest text for a hash with digits and lower-case letters. */
 const KEY_RADIX = 36;
@@ -36,8 +40,12 @@
 interface OwnStream {
   origin: StreamOrigin;
   beganMs: number;
+  /** Number of reports. */
+  reports: number;
   /** When it was last reported; negative infinity if never. */
   reportedMs: number;
+  /** Whom it was last reported to. */
+  recipient: string | undefined;
 }
 
 /** Identifies a stream across nodes, by the client's attempt that received its
@@ -85,11 +93,7 @@
   recordBegun(key: string, origin: StreamOrigin): void {
     const now = this.#clock.monotonicMs();
     this.#origins.set(key, { origin, recordedMs: now });
-    this.#unstored.set(key, {
-      origin,
-      beganMs: now,
-      reportedMs: Number.NEGATIVE_INFINITY,
-    });
+    this.#unstored.set(key, unreported(origin, now));
     this.#listeners.forEach((listener) => listener());
   }
 
@@ -114,11 +118,7 @@
    * latest writes. */
   forgetStored(): void {
     for (const [key, { origin, beganMs }] of [...this.#stored.entries()]) {
-      this.#unstored.set(key, {
-        origin,
-        beganMs,
-        reportedMs: Number.NEGATIVE_INFINITY,
-      });
+      this.#unstored.set(key, unreported(origin, beganMs));
     }
     this.#stored.clear();
   }
@@ -146,34 +146,44 @@
     return isKnown ? known.origin as StreamOrigin : undefined;
   }
 
-  /** Returns up to `max` unfinished streams of this node that are to be stored:
-   * of services that `needsRecord`, and not reported within the retry time. */
+  /**
+   * Returns up to `max` unfinished streams of this node that are to be stored: of
+   * services that `needsRecord`, and not reported a moment ago.
+   *
+   * @param chooseRecipient Returns whom they are reported to, if there are any. Gets
+   * the recipients that have not acknowledged earlier reports in time.
+   */
   takeReports(
-    { needsRecord, max }: {
+    { needsRecord, max, chooseRecipient = () => undefined }: {
       needsRecord: (service: string) => boolean;
       max: number;
+      chooseRecipient?: (silent: ReadonlySet<string>) => string | undefined;
     },
   ): StreamGroup[] {
     const now = this.#clock.monotonicMs();
-    const groups = new Map<string, StreamGroup & { streams: string[] }>();
-    let count = 0;
+    const due: [key: string, stream: OwnStream][] = [];
     for (const [key, stream] of [...this.#unstored.entries()]) {
       if (this.#isExpired(stream.beganMs)) {
         this.#unstored.delete(key);
       } else if (
-        count < max && now - stream.reportedMs >= REPORT_RETRY_MS &&
+        due.length < max && isDue(stream, now) &&
         needsRecord(stream.origin.service)
       ) {
-        count += 1;
-        stream.reportedMs = now;
-        const { service, version } = stream.origin;
-        const groupKey = JSON.stringify([service, version]);
-        const group = groups.get(groupKey) ?? { service, version, streams: [] };
-        group.streams.push(key);
-        groups.set(groupKey, group);
+        due.push([key, stream]);
       }
     }
-    return [...groups.values()];
+    if (due.length === 0) {
+      return [];
+    }
+    const recipient = chooseRecipient(
+      new Set(due.flatMap(([, { recipient }]) => recipient ?? [])),
+    );
+    for (const [, stream] of due) {
+      stream.reports += 1;
+      stream.reportedMs = now;
+      stream.recipient = recipient;
+    }
+    return groupByOrigin(due);
   }
 
   #record(key: string, origin: StreamOrigin): void {
@@ -194,3 +204,33 @@
 function isSameOrigin(a: StreamOrigin, b: StreamOrigin): boolean {
   return a.service === b.service && a.version === b.version;
 }
+
+function unreported(origin: StreamOrigin, beganMs: number): OwnStream {
+  return {
+    origin,
+    beganMs,
+    reports: 0,
+    reportedMs: Number.NEGATIVE_INFINITY,
+    recipient: undefined,
+  };
+}
+
+function isDue({ reports, reportedMs }: OwnStream, now: number): boolean {
+  const intervalMs = reports < MAX_PROMPT_REPORTS
+    ? REPORT_TIMEOUT_MS
+    : REPORT_RETRY_MS;
+  return now - reportedMs >= intervalMs;
+}
+
+function groupByOrigin(
+  streams: readonly [key: string, stream: OwnStream][],
+): StreamGroup[] {
+  const groups = new Map<string, StreamGroup & { streams: string[] }>();
+  for (const [key, { origin: { service, version } }] of streams) {
+    const groupKey = JSON.stringify([service, version]);
+    const group = groups.get(groupKey) ?? { service, version, streams: [] };
+    group.streams.push(key);
+    groups.set(groupKey, group);
+  }
+  return [...groups.values()];
+}
--- a/packages/fleet/src/choose_watchers.ts
+++ b/packages/fleet/src/choose_watchers.ts
@@ -29,6 +29,27 @@
   candidates: readonly WatcherCandidate[],
   rank: (ids: readonly string[]) => string[],
 ): string[] {
+  return split(candidates, rank).watchers;
+}
+
+/**
+ * Orders the nodes by preference for writes to the store on behalf of the fleet:
+ * the watchers, which are of different zones, then the others.
+ *
+ * @param rank Orders node ids by preference, in the same way on every node.
+ */
+export function rankWriters(
+  candidates: readonly WatcherCandidate[],
+  rank: (ids: readonly string[]) => string[],
+): string[] {
+  const { watchers, others } = split(candidates, rank);
+  return [...watchers, ...others];
+}
+
+function split(
+  candidates: readonly WatcherCandidate[],
+  rank: (ids: readonly string[]) => string[],
+): { watchers: string[]; others: string[] } {
   const byId = new Map(candidates.map((node) => [node.id, node]));
   const ranked = rank([...byId.keys()]).map((id) => byId.get(id)!);
   const byPreference = [
@@ -36,12 +57,16 @@
     ...ranked.filter(({ storeConnectivity }) => storeConnectivity === "lost"),
   ];
   const countByZone = new Map<string, number>();
-  const chosen = byPreference.filter(({ availabilityZone }) => {
+  const firstOfZones: string[] = [];
+  const others: string[] = [];
+  for (const { id, availabilityZone } of byPreference) {
     const count = (countByZone.get(availabilityZone) ?? 0) + 1;
     countByZone.set(availabilityZone, count);
-    return count <= WATCHERS_PER_ZONE;
-  });
-  const others = byPreference.filter((node) => !chosen.includes(node));
-  const missing = Math.max(0, MIN_WATCHERS - chosen.length);
-  return [...chosen, ...others.slice(0, missing)].map(({ id }) => id);
+    (count <= WATCHERS_PER_ZONE ? firstOfZones : others).push(id);
+  }
+  const missing = Math.max(0, MIN_WATCHERS - firstOfZones.length);
+  return {
+    watchers: [...firstOfZones, ...others.slice(0, missing)],
+    others: others.slice(missing),
+  };
 }
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -44,10 +44,14 @@
   type VersionMark,
 } from "./stream_log.ts";
 export {
+  decodeStoredMessage,
   decodeStreamMessage,
+  encodeStoredMessage,
   encodeStreamMessage,
   isStreamGroup,
+  type StoredStreams,
   type StreamGroupEntry,
+  type StreamReport,
 } from "./stream_message.ts";
 export { askTunnelEnd, type AskTunnelEndOptions } from "./ask_tunnel_end.ts";
 export {
@@ -63,6 +67,7 @@
 } from "./tunnel_server.ts";
 export {
   chooseWatchers,
+  rankWriters,
   type StoreConnectivity,
   type WatcherCandidate,
 } from "./choose_watchers.ts";
--- a/packages/fleet/src/stream_log.ts
+++ b/packages/fleet/src/stream_log.ts
@@ -6,7 +6,8 @@
 } from "@limpetshed/base";
 import type { Logger } from "@limpetshed/observe";
 import type { Lease, RegistrationStore } from "./node_registration.ts";
-import type { StreamGroupEntry } from "./stream_message.ts";
+import { PendingStreams } from "./pending_streams.ts";
+import type { StreamGroupEntry, StreamReport } from "./stream_message.ts";
 
 /** A software version of a service. */
 export interface VersionMark {
@@ -28,6 +29,14 @@
   marks: () => readonly VersionMark[];
   /** Latest era of the store that this node knows of. */
   era: () => number;
+  /** Whether a stream is known to be in the store. */
+  isStored: (stream: string, mark: VersionMark) => boolean;
+  /** Called with the streams of one author that were written to the store in an
+   * era. */
+  onStored: (
+    author: string,
+    stored: { groups: StreamGroupEntry[]; era: number },
+  ) => void;
 }
 
 /** Interval between writes; streams begun within it are lost if all nodes are
@@ -44,9 +53,6 @@
  * began may be resumed. */
 const MARK_LEASE_TTL_MS = 60_000;
 const MARK_RENEW_INTERVAL_MS = 15_000;
-/** A batch of this many streams takes some 300 kB in the store. */
-const MAX_BATCH_STREAMS = 20_000;
-
 /**
  * Keeps in the store at which software version unfinished streams began, in
  * batches, and which versions are in service, as marks that outlive them. Both
@@ -56,8 +62,7 @@
   readonly #options: StreamLogOptions;
   readonly #abortController = new AbortController();
   readonly #loop: RepeatingTask;
-  #pending = new Map<string, StreamGroupEntry>();
-  #pendingStreams = 0;
+  readonly #pending: PendingStreams;
   #batchCount = 0;
   #batchLease: { lease: Lease; grantedMs: number } | undefined;
   readonly #markLeases = new Map<string, { lease: Lease; renewedMs: number }>();
@@ -66,25 +71,17 @@
 
   constructor(options: StreamLogOptions) {
     this.#options = options;
+    this.#pending = new PendingStreams(options);
     this.#loop = repeat(options.clock, () => this.#write(), {
       intervalMs: WRITE_INTERVAL_MS,
       onError: (err) => this.#recordFailure(err),
     });
   }
 
-  /** Adds streams to the next batch. Those beyond its limit are dropped: their
-   * nodes report them again. */
-  add(groups: readonly StreamGroupEntry[]): void {
-    for (const [service, version, streams] of groups) {
-      if (this.#pendingStreams + streams.length > MAX_BATCH_STREAMS) {
-        return;
-      }
-      this.#pendingStreams += streams.length;
-      const key = JSON.stringify([service, version]);
-      const group = this.#pending.get(key) ?? [service, version, []];
-      group[2].push(...streams);
-      this.#pending.set(key, group);
-    }
+  /** Adds the streams of a report to the next batch. Copies are written only if
+   * the store does not have them in time. */
+  add(report: StreamReport): void {
+    this.#pending.add(report);
   }
 
   /** Stops writing. */
@@ -103,24 +100,27 @@
   }
 
   async #writeBatch(): Promise<void> {
-    if (this.#pending.size === 0) {
+    const batch = this.#pending.due();
+    if (batch.isEmpty) {
       return;
     }
-    const { store, batchPrefix } = this.#options;
+    const { store, batchPrefix, onStored } = this.#options;
     const { signal } = this.#abortController;
     const lease = await this.#currentBatchLease();
-    const groups = [...this.#pending.values()];
-    this.#pending = new Map();
-    this.#pendingStreams = 0;
+    this.#pending.remove(batch);
     // If this fails the streams are not kept here: their nodes report them again.
     const isWritten = await store.put(`${batchPrefix}${this.#batchCount}`, {
-      value: JSON.stringify(groups),
+      value: JSON.stringify(batch.groups()),
       lease,
       signal,
     });
-    this.#batchCount += 1;
     if (!isWritten) {
       this.#batchLease = undefined;
+      return;
+    }
+    this.#batchCount += 1;
+    for (const [author, groups] of batch.groupsByAuthor()) {
+      onStored(author, { groups, era: lease.era });
     }
   }
 
--- a/packages/fleet/tests/odd_messages_test.ts
+++ b/packages/fleet/tests/odd_messages_test.ts
@@ -6,7 +6,10 @@
 import { decodeLeavingMessage } from "../src/leaving_message.ts";
 import { decodeLimitMessage } from "../src/limit_message.ts";
 import { decodeLoadMessage } from "../src/load_message.ts";
-import { decodeStreamMessage } from "../src/stream_message.ts";
+import {
+  decodeStoredMessage,
+  decodeStreamMessage,
+} from "../src/stream_message.ts";
 import { decodeUpdate } from "../src/decode_update.ts";
 import { PeerDirectory } from "../src/peer_directory.ts";
 
@@ -25,6 +28,11 @@
   '[1,"n1","start",1,[],[],[["e1/1",1,?]]]',
   '[2,["s","v1",[?]]]',
   '[2,[?,"v1",["x"]]]',
+  '[2,["s","v1",["x"]],{"author":?,"isCopy":true}]',
+  '[2,["s","v1",["x"]],?]',
+  '[5,?,1,["s","v1",["x"]]]',
+  '[5,"n1",?,["s","v1",["x"]]]',
+  '[5,"n1",1,?]',
   "[3,[?]]",
   "[3,?]",
 ];
@@ -51,6 +59,7 @@
           decodeLoadMessage(data),
           decodeLimitMessage(data),
           decodeStreamMessage(data),
+          decodeStoredMessage(data),
           decodeLeavingMessage(data),
         ];
         expect(decode, value.slice(0, 30)).to.not.throw();
@@ -70,6 +79,7 @@
           decodeLoadMessage(data);
           decodeLimitMessage(data);
           decodeStreamMessage(data);
+          decodeStoredMessage(data);
           decodeLeavingMessage(data);
         },
       ),
--- a/packages/fleet_relay/src/fleet_relay.ts
+++ b/packages/fleet_relay/src/fleet_relay.ts
@@ -156,7 +156,7 @@
       nodeId: settings.nodeId,
       node: this.#node,
       directory: this.#directory,
-      writerId: () => this.#state.sourceSelector.fleetWriterId,
+      writerIds: () => this.#state.sourceSelector.fleetWriterIds,
       era: () => this.#state.mirror.era,
       send: (address, datagrams) => this.#loadExchange.send(address, datagrams),
     });
--- a/packages/fleet_relay/src/state_source_selector.ts
+++ b/packages/fleet_relay/src/state_source_selector.ts
@@ -3,6 +3,7 @@
   chooseWatchers,
   type Peer,
   type PeerDirectory,
+  rankWriters,
   type StoreConnectivity,
   type WatcherCandidate,
 } from "@limpetshed/fleet";
@@ -116,6 +117,14 @@
     return this.#watcherIds()[0]!;
   }
 
+  /** Ids of all live nodes, in order of preference for such writes. */
+  get fleetWriterIds(): readonly string[] {
+    return rankWriters(
+      this.#watcherCandidates(),
+      (ids) => this.#watcherRanking.rank(ids),
+    );
+  }
+
   /** Whether a live peer tells that it reaches the store. */
   get isStoreReachedByPeers(): boolean {
     return this.#options.directory.livePeers()
@@ -204,15 +213,19 @@
 
   /** Ids of the nodes that watch the store, as this node sees the fleet. */
   #watcherIds(): string[] {
+    return chooseWatchers(
+      this.#watcherCandidates(),
+      (ids) => this.#watcherRanking.rank(ids),
+    );
+  }
+
+  #watcherCandidates(): WatcherCandidate[] {
     const { nodeId, availabilityZone, directory } = this.#options;
     const self: WatcherCandidate = {
       id: nodeId,
       availabilityZone,
       storeConnectivity: this.storeConnectivity,
     };
-    return chooseWatchers(
-      [self, ...directory.livePeers()],
-      (ids) => this.#watcherRanking.rank(ids),
-    );
+    return [self, ...directory.livePeers()];
   }
 }
--- a/packages/fleet_relay/src/stream_records.ts
+++ b/packages/fleet_relay/src/stream_records.ts
@@ -18,8 +18,9 @@
   nodeId: string;
   node: RelayNode;
   directory: PeerDirectory;
-  /** Id of the node that writes to the store for the fleet. */
-  writerId: () => string;
+  /** Ids of the nodes that write to the store for the fleet, in order of
+   * preference. */
+  writerIds: () => readonly string[];
   /** Latest era of the store that this node knows of. */
   era: () => number;
   /** Sends datagrams to `ip:port`. */
@@ -37,7 +38,7 @@
   readonly #log: StreamLog;
 
   constructor(
-    { clock, logger, store, nodeId, node, directory, writerId, era, send }:
+    { clock, logger, store, nodeId, node, directory, writerIds, era, send }:
       StreamRecordsOptions,
   ) {
     const startedMs = clock.monotonicMs();
@@ -46,19 +47,26 @@
       logger,
       ...store,
       era,
+      isStored: (stream, { service, version }) => {
+        const origin = node.streamOrigins.find(stream);
+        return origin?.service === service && origin.version === version;
+      },
+      onStored: (author, stored) => this.sharing.acknowledge(author, stored),
       marks: () =>
         clock.monotonicMs() - startedMs >= PEER_DISCOVERY_MS &&
-          writerId() === nodeId
+          writerIds()[0] === nodeId
           ? node.serviceVersions.inService()
           : [],
     });
     this.sharing = new StreamSharing({
       clock,
       logger,
+      nodeId,
       node,
       directory,
       log: this.#log,
-      writerId,
+      writerIds,
+      era,
       send,
     });
   }
--- a/packages/fleet_relay/src/stream_sharing.ts
+++ b/packages/fleet_relay/src/stream_sharing.ts
@@ -7,24 +7,32 @@
 } from "@limpetshed/base";
 import type { StreamGroup } from "@limpetshed/dispatch";
 import {
+  decodeStoredMessage,
   decodeStreamMessage,
+  encodeStoredMessage,
   encodeStreamMessage,
   type PeerDirectory,
   type StreamGroupEntry,
   type StreamLog,
+  type StreamReport,
 } from "@limpetshed/fleet";
 import type { Logger } from "@limpetshed/observe";
 import type { RelayNode } from "@limpetshed/relay";
+import { type Recipients, ReportRecipients } from "./report_recipients.ts";
 
 /** Options of {@linkcode StreamSharing}. */
 export interface StreamSharingOptions {
   clock: Clock;
   logger: Logger;
+  nodeId: string;
   node: Pick<RelayNode, "streamOrigins" | "serviceVersions">;
   directory: PeerDirectory;
-  log: StreamLog;
-  /** Id of the node that writes this node's streams to the store. */
-  writerId: () => string;
+  log: Pick<StreamLog, "add">;
+  /** Ids of the nodes that may write this node's streams to the store, in order of
+   * preference. */
+  writerIds: () => readonly string[];
+  /** Latest era of the store that this node knows of. */
+  era: () => number;
   /** Sends datagrams to `ip:port`. */
   send: (address: string, datagrams: readonly Buffer[]) => void;
 }
@@ -36,17 +44,27 @@
 /** Bounds the datagrams that are sent at once. */
 const MAX_STREAMS_PER_REPORT = 400;
 
-/** Reports where unfinished streams began to the node that writes it to the store,
- * while their service has several software versions. */
+/**
+ * Reports where unfinished streams began to the node that writes it to the store,
+ * while their service has several software versions. The writer acknowledges what
+ * it has written; without an acknowledgment the report goes to another node. A
+ * second node holds a copy meanwhile, since this one may end before.
+ */
 export class StreamSharing {
   readonly #options: StreamSharingOptions;
+  readonly #recipients: ReportRecipients;
   readonly #mixedServices = new Set<string>();
   readonly #retries: RepeatingTask;
   #timer: Timer | undefined;
 
   constructor(options: StreamSharingOptions) {
     this.#options = options;
-    const { clock, logger, node } = options;
+    const { clock, logger, node, nodeId, writerIds } = options;
+    this.#recipients = new ReportRecipients({
+      clock,
+      nodeId,
+      candidates: writerIds,
+    });
     node.streamOrigins.onBegun(() => {
       this.#timer ??= clock.setTimer(GATHER_MS, () => this.#report());
     });
@@ -58,7 +76,33 @@
 
   /** Handles a datagram; ignores one that is not about streams. */
   receive(data: Buffer): void {
-    this.#options.log.add(decodeStreamMessage(data) ?? []);
+    const stored = decodeStoredMessage(data);
+    if (stored !== undefined) {
+      this.#recipients.recordAnswer(stored.writer);
+      this.#recordStored(stored);
+      return;
+    }
+    const report = decodeStreamMessage(data);
+    if (report !== undefined) {
+      this.#options.log.add(report);
+    }
+  }
+
+  /** Tells the node that relays the streams that this one has written them. */
+  acknowledge(
+    author: string,
+    stored: { groups: StreamGroupEntry[]; era: number },
+  ): void {
+    const { nodeId, directory, send } = this.#options;
+    if (author === nodeId) {
+      this.#recipients.recordAnswer(nodeId);
+      this.#recordStored(stored);
+      return;
+    }
+    const address = directory.get(author)?.datagramAddress;
+    if (address !== undefined) {
+      send(address, encodeStoredMessage({ ...stored, writer: nodeId }));
+    }
   }
 
   /** Stops reporting. */
@@ -70,24 +114,51 @@
   #report(): void {
     this.#timer?.cancel();
     this.#timer = undefined;
-    const { node, directory, log, writerId, send } = this.#options;
+    const { node, nodeId } = this.#options;
     const mixed = new Map<string, boolean>();
-    const reports = node.streamOrigins.takeReports({
+    let recipients: Recipients | undefined;
+    const groups = node.streamOrigins.takeReports({
       needsRecord: (service) => {
         const isMixed = mixed.get(service) ?? this.#isMixed(service);
         mixed.set(service, isMixed);
         return isMixed;
       },
       max: MAX_STREAMS_PER_REPORT,
+      chooseRecipient: (silent) => {
+        this.#recipients.recordSilence(silent);
+        recipients = this.#recipients.choose();
+        return recipients.writer;
+      },
     }).map(toEntry);
-    if (reports.length === 0) {
+    if (recipients === undefined) {
       return;
     }
-    const writer = directory.get(writerId());
-    if (writer === undefined) {
-      log.add(reports);
+    const { writer, copyHolder } = recipients;
+    this.#send(writer, { groups, author: nodeId, isCopy: false });
+    if (copyHolder !== undefined) {
+      this.#send(copyHolder, { groups, author: nodeId, isCopy: true });
+    }
+  }
+
+  #send(recipient: string, report: StreamReport): void {
+    const { directory, log, send } = this.#options;
+    const peer = directory.get(recipient);
+    if (peer === undefined) {
+      log.add(report);
     } else {
-      send(writer.datagramAddress, encodeStreamMessage(reports));
+      send(peer.datagramAddress, encodeStreamMessage(report));
+    }
+  }
+
+  /** What was written in an era that is over may be lost. */
+  #recordStored(
+    { groups, era }: { groups: StreamGroupEntry[]; era: number },
+  ): void {
+    const { node: { streamOrigins }, era: currentEra } = this.#options;
+    if (era >= currentEra()) {
+      for (const [service, version, streams] of groups) {
+        streamOrigins.recordStored({ service, version, streams });
+      }
     }
   }
 
--- a/packages/fleet_relay/tests/older_messages_test.ts
+++ b/packages/fleet_relay/tests/older_messages_test.ts
@@ -62,7 +62,11 @@
 
   it("are decoded: streams", () => {
     expect(decodeStreamMessage(Buffer.from(MESSAGES.stream[0]!)))
-      .to.deep.equal([["s", "v1", ["a1", "b2"]]]);
+      .to.deep.equal({
+        groups: [["s", "v1", ["a1", "b2"]]],
+        author: undefined,
+        isCopy: false,
+      });
   });
 
   it("are decoded: changes and snapshots of shared state", () => {
--- a/packages/fleet_relay/tests/stream_versions_test.ts
+++ b/packages/fleet_relay/tests/stream_versions_test.ts
@@ -92,6 +92,8 @@
   readonly origins: StreamOrigins;
   readonly versions: ServiceVersions;
   readonly sharing: StreamSharing;
+  /** Whether it can call the store. */
+  hasStore = true;
   readonly #clock: ManualClock;
   readonly #log: StreamLog;
   readonly #resolver: StreamOriginResolver;
@@ -99,12 +101,12 @@
   #confirmedMs = Number.NEGATIVE_INFINITY;
 
   constructor(
-    { clock, store, id, writer, send }: {
+    { clock, store, id, writerIds, send }: {
       clock: ManualClock;
       store: TestStore;
       id: string;
-      writer: string;
-      send: (datagrams: readonly Buffer[]) => void;
+      writerIds: () => readonly string[];
+      send: (address: string, datagrams: readonly Buffer[]) => void;
     },
   ) {
     this.#clock = clock;
@@ -118,27 +120,38 @@
     this.#log = new StreamLog({
       clock,
       logger,
-      store,
+      store: {
+        grantLease: (ttlMs) => this.#reach(store).grantLease(ttlMs),
+        renewLease: (lease) => this.#reach(store).renewLease(lease),
+        put: (key, options) => this.#reach(store).put(key, options),
+      },
       batchPrefix: `streams/${id}/${clock.monotonicMs()}/`,
       markKey: ({ service, version }) => `versions/${service}/${version}`,
       era: () => 0,
-      marks: () => id === writer ? this.versions.inService() : [],
+      isStored: (stream, { version }) =>
+        this.origins.find(stream)?.version === version,
+      onStored: (author, stored) => this.sharing.acknowledge(author, stored),
+      marks: () => id === writerIds()[0] ? this.versions.inService() : [],
     });
     const directory = new PeerDirectory({ clock, selfId: id });
-    directory.put({
-      id: writer,
-      availabilityZone: "a",
-      callAddress: "",
-      datagramAddress: writer,
-    });
+    for (const peer of writerIds()) {
+      directory.put({
+        id: peer,
+        availabilityZone: "a",
+        callAddress: "",
+        datagramAddress: peer,
+      });
+    }
     this.sharing = new StreamSharing({
       clock,
       logger,
-      send: (_address, datagrams) => send(datagrams),
+      nodeId: id,
+      send,
       node: { streamOrigins: this.origins, serviceVersions: this.versions },
       directory,
       log: this.#log,
-      writerId: () => writer,
+      writerIds,
+      era: () => 0,
     });
     this.#resolver = new StreamOriginResolver({
       clock,
@@ -217,6 +230,13 @@
     void this.#log.close();
     void this.sharing.close();
   }
+
+  #reach(store: TestStore): TestStore {
+    if (!this.hasStore) {
+      throw new Error("the store is out of reach");
+    }
+    return store;
+  }
 }
 
 const UNKNOWN = "stream_origin_unknown";
@@ -227,6 +247,8 @@
   readonly store = new TestStore(this.clock);
   nodes: TestNode[] = [];
   readonly #endpoints = new Map<string, string>();
+  /** Nodes whose datagrams, in and out, are lost. */
+  readonly #silent = new Set<string>();
   #lossyUntilMs = 0;
 
   constructor(readonly size = 4) {
@@ -234,23 +256,32 @@
   }
 
   startAll(): void {
+    this.#silent.clear();
     this.nodes = Array.from({ length: this.size }, (_, index) => {
+      const id = `n${index}`;
       const node = new TestNode({
         clock: this.clock,
         store: this.store,
-        id: `n${index}`,
-        writer: "n0",
-        send: (datagrams) => {
-          if (this.clock.monotonicMs() >= this.#lossyUntilMs) {
-            datagrams.forEach((data) => this.nodes[0]!.sharing.receive(data));
-          }
-        },
+        id,
+        writerIds: () => this.#nodeIds,
+        send: (address, datagrams) => this.#deliver(id, address, datagrams),
       });
       this.#endpoints.forEach((version, id) => node.setEndpoint(id, version));
       return node;
     });
   }
 
+  /** Ends a node; the others take it for live. */
+  kill(index: number): void {
+    this.nodes[index]!.close();
+    this.#silent.add(`n${index}`);
+  }
+
+  /** Cuts a node off from the other nodes. */
+  cutOff(index: number): void {
+    this.#silent.add(`n${index}`);
+  }
+
   /** Ends all nodes at once and starts them anew. */
   async killAll(): Promise<void> {
     this.nodes.forEach((node) => node.close());
@@ -294,6 +325,19 @@
   close(): void {
     this.nodes.forEach((node) => node.close());
   }
+
+  get #nodeIds(): string[] {
+    return Array.from({ length: this.size }, (_, index) => `n${index}`);
+  }
+
+  #deliver(from: string, to: string, datagrams: readonly Buffer[]): void {
+    const isLost = this.clock.monotonicMs() < this.#lossyUntilMs ||
+      this.#silent.has(from) || this.#silent.has(to);
+    if (!isLost) {
+      const { sharing } = this.nodes[this.#nodeIds.indexOf(to)]!;
+      datagrams.forEach((data) => sharing.receive(data));
+    }
+  }
 }
 
 /** Lets the promises of this turn resolve. */
@@ -458,4 +502,63 @@
     await fleet.run(2_000);
     expect(fleet.store.writes).to.equal(writes);
   });
+
+  // None of the streams of a node that ended after the writer went on elsewhere.
+  for (const gapMs of [0, 200, 600, 1_000, 1_400, 2_600]) {
+    it(`is known after the writer ended and its own node ${gapMs} ms later`, async () => {
+      await startMixed();
+      fleet.kill(0);
+      const streamCount = 1 + gapMs / ROUND_MS;
+      for (let index = 0; index < streamCount; index += 1) {
+        fleet.nodes[1]!.begin(`r${index}`, index % 2 === 0 ? "v1" : "v2");
+        await fleet.run(ROUND_MS);
+      }
+      fleet.kill(1);
+      await fleet.run(STORED_MS);
+      for (let index = 0; index < streamCount; index += 1) {
+        expect(await fleet.resume(2 + index % 2, `r${index}`))
+          .to.equal(index % 2 === 0 ? "v1" : "v2");
+      }
+    });
+  }
+
+  // The writer took the streams and could not write them.
+  it("is known after the writer lost the store and its own node ended", async () => {
+    await startMixed();
+    fleet.nodes[0]!.hasStore = false;
+    fleet.nodes[1]!.begin("r1", "v1");
+    await fleet.run(ROUND_MS);
+    fleet.kill(1);
+    await fleet.run(2 * STORED_MS);
+    expect(await fleet.resume(2, "r1")).to.equal("v1");
+  });
+
+  it("is known after the store was away while its own node ended", async () => {
+    await startMixed();
+    fleet.store.isDown = true;
+    fleet.nodes[1]!.begin("r1", "v1");
+    await fleet.run(STORED_MS);
+    fleet.kill(1);
+    await fleet.run(STORED_MS);
+    fleet.store.isDown = false;
+    await fleet.run(2_000);
+    expect(await fleet.resume(2, "r1")).to.equal("v1");
+  });
+
+  it("is known after its own node was cut off from the others and ended", async () => {
+    await startMixed();
+    fleet.cutOff(1);
+    fleet.nodes[1]!.begin("r1", "v1");
+    await fleet.run(1_400);
+    fleet.kill(1);
+    expect(await fleet.resume(2, "r1")).to.equal("v1");
+  });
+
+  it("is written once, and by one node, while nothing fails", async () => {
+    await startMixed();
+    const writes = fleet.store.writes;
+    fleet.nodes[1]!.begin("r1", "v1");
+    await fleet.run(4_000);
+    expect(fleet.store.writes).to.equal(writes + 1);
+  });
 });
