fix: keep streams whose write to the store failed

What callers saw: nothing yet; found on the path of the fault before. If the store is away, or a lease has expired, and a node ends meanwhile, streams of that node that others have taken over are lost for good.

Cause: the log of streams dropped a batch before it was written and relied on the authors to report it again, who may be gone.

Fix: a batch stays pending until the store has acknowledged it; the next one has the same key and contains it.

Evidence: two tests of stream_log_test (an error, an expired lease) failed before: the store held a and c of a, b and c.

--- a/packages/fleet/src/stream_log.ts
+++ b/packages/fleet/src/stream_log.ts
@@ -107,8 +107,8 @@
     const { store, batchPrefix, onStored } = this.#options;
     const { signal } = this.#abortController;
     const lease = await this.#currentBatchLease();
-    this.#pending.remove(batch);
-    // If this fails the streams are not kept here: their nodes report them again.
+    // The author of a stream may be gone, so a batch that was not written stays
+    // pending. The next one has the same key and contains it.
     const isWritten = await store.put(`${batchPrefix}${this.#batchCount}`, {
       value: JSON.stringify(batch.groups()),
       lease,
@@ -119,6 +119,7 @@
       return;
     }
     this.#batchCount += 1;
+    this.#pending.remove(batch);
     for (const [author, groups] of batch.groupsByAuthor()) {
       onStored(author, { groups, era: lease.era });
     }
