fix: write the mark of a version anew after another node has

What callers saw: nothing yet; found on the path of streams after two losses. A stream may go on at another version than began it, after all nodes restarted.

Cause: two nodes may take themselves for the writer while membership settles. The later write moves the mark to its own lease, which nobody renews, while the writer renews a lease that no key belongs to. The mark expires though its version is in service.

Fix: a mark names its keeper; a writer that finds another one when it would renew the lease writes the mark anew.

Evidence: "is not guessed a while after two nodes took themselves for the writer" failed before: v2 in place of stream_origin_unknown.

--- a/packages/dispatch/src/service_versions.ts
+++ b/packages/dispatch/src/service_versions.ts
@@ -8,6 +8,12 @@
   registry: EndpointRegistry;
 }
 
+/** A mark of the store: a version is in service or was recently. */
+export interface StoredVersionMark extends StreamOrigin {
+  /** Id of the node that wrote it; undefined if that is of an earlier release. */
+  keeper?: string;
+}
+
 /** Version of all endpoints of a service none of whose endpoints publishes one. */
 const UNPUBLISHED = "";
 
@@ -16,7 +22,7 @@
   readonly #clock: Clock;
   readonly #registry: EndpointRegistry;
   /** Versions in the store's marks, by the mark's id. */
-  readonly #marks = new Map<string, StreamOrigin>();
+  readonly #marks = new Map<string, StoredVersionMark>();
   /** When each published version was last removed, by service. */
   readonly #removedMs = new Map<string, Map<string, number>>();
 
@@ -25,9 +31,16 @@
     this.#registry = registry;
   }
 
-  /** Adds a mark of the store: the version is in service or was recently. */
-  setMark(id: string, origin: StreamOrigin): void {
-    this.#marks.set(id, origin);
+  /** Adds a mark of the store, or replaces it. */
+  setMark(id: string, mark: StoredVersionMark): void {
+    this.#marks.set(id, mark);
+  }
+
+  /** The mark of a version in the store. */
+  findMark({ service, version }: StreamOrigin): StoredVersionMark | undefined {
+    return [...this.#marks.values()].find((mark) =>
+      mark.service === service && mark.version === version
+    );
   }
 
   /** Removes a mark of the store. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -38,11 +38,8 @@
 } from "./peer_directory.ts";
 export { PeerClient } from "./peer_client.ts";
 export { CONFIG_PATH, PeerServer, PLACEMENTS_PATH } from "./peer_server.ts";
-export {
-  StreamLog,
-  type StreamLogOptions,
-  type VersionMark,
-} from "./stream_log.ts";
+export { StreamLog, type StreamLogOptions } from "./stream_log.ts";
+export type { VersionMark } from "./version_marks.ts";
 export {
   decodeStoredMessage,
   decodeStreamMessage,
--- a/packages/fleet/src/stream_log.ts
+++ b/packages/fleet/src/stream_log.ts
@@ -8,25 +8,20 @@
 import type { Lease, RegistrationStore } from "./node_registration.ts";
 import { PendingStreams } from "./pending_streams.ts";
 import type { StreamGroupEntry, StreamReport } from "./stream_message.ts";
-
-/** A software version of a service. */
-export interface VersionMark {
-  service: string;
-  version: string;
-}
+import {
+  type VersionMark,
+  VersionMarks,
+  type VersionMarksOptions,
+} from "./version_marks.ts";
 
 /** Options of {@linkcode StreamLog}. */
-export interface StreamLogOptions {
+export interface StreamLogOptions extends VersionMarksOptions {
   clock: Clock;
   logger: Logger;
   store: RegistrationStore;
   /** Prefix of the keys of this node's batches of streams; unique to each start of
    * the node. */
   batchPrefix: string;
-  /** Returns the key of a mark. */
-  markKey: (mark: VersionMark) => string;
-  /** The versions that this node has to keep marks of. */
-  marks: () => readonly VersionMark[];
   /** Latest era of the store that this node knows of. */
   era: () => number;
   /** Whether a stream is known to be in the store. */
@@ -49,10 +44,7 @@
 /** Keeps each batch for 60 s at least, several times as long as clients go on with
  * a stream. */
 const BATCH_LEASE_TTL_MS = 80_000;
-/** Keeps the mark of a version that has left for as long as streams that it
- * began may be resumed. */
-const MARK_LEASE_TTL_MS = 60_000;
-const MARK_RENEW_INTERVAL_MS = 15_000;
+
 /**
  * Keeps in the store at which software version unfinished streams began, in
  * batches, and which versions are in service, as marks that outlive them. Both
@@ -65,13 +57,14 @@
   readonly #pending: PendingStreams;
   #batchCount = 0;
   #batchLease: { lease: Lease; grantedMs: number } | undefined;
-  readonly #markLeases = new Map<string, { lease: Lease; renewedMs: number }>();
+  readonly #marks: VersionMarks;
   #retryAtMs = 0;
   #isFailing = false;
 
   constructor(options: StreamLogOptions) {
     this.#options = options;
     this.#pending = new PendingStreams(options);
+    this.#marks = new VersionMarks(options);
     this.#loop = repeat(options.clock, () => this.#write(), {
       intervalMs: WRITE_INTERVAL_MS,
       onError: (err) => this.#recordFailure(err),
@@ -94,7 +87,7 @@
     if (this.#options.clock.monotonicMs() < this.#retryAtMs) {
       return;
     }
-    await this.#keepMarks();
+    await this.#marks.keep({ signal: this.#abortController.signal });
     await this.#writeBatch();
     this.#isFailing = false;
   }
@@ -140,41 +133,6 @@
     return this.#batchLease.lease;
   }
 
-  async #keepMarks(): Promise<void> {
-    const { markKey, marks } = this.#options;
-    const current = new Map(marks().map((mark) => [markKey(mark), mark]));
-    for (const key of [...this.#markLeases.keys()]) {
-      if (!current.has(key)) {
-        this.#markLeases.delete(key);
-      }
-    }
-    for (const [key, mark] of current) {
-      await this.#keepMark(key, mark);
-    }
-  }
-
-  async #keepMark(key: string, mark: VersionMark): Promise<void> {
-    const { clock, store, era } = this.#options;
-    const { signal } = this.#abortController;
-    const now = clock.monotonicMs();
-    const known = this.#markLeases.get(key);
-    if (known !== undefined && known.lease.era >= era()) {
-      if (now - known.renewedMs < MARK_RENEW_INTERVAL_MS) {
-        return;
-      }
-      if (await store.renewLease(known.lease, { signal })) {
-        known.renewedMs = now;
-        return;
-      }
-    }
-    this.#markLeases.delete(key);
-    const lease = await store.grantLease(MARK_LEASE_TTL_MS, { signal });
-    const value = JSON.stringify(mark);
-    if (await store.put(key, { value, lease, signal })) {
-      this.#markLeases.set(key, { lease, renewedMs: now });
-    }
-  }
-
   #recordFailure(err: unknown): void {
     const { clock, logger } = this.#options;
     this.#retryAtMs = clock.monotonicMs() + RETRY_DELAY_MS;
--- a/packages/fleet_relay/src/stream_records.ts
+++ b/packages/fleet_relay/src/stream_records.ts
@@ -41,6 +41,7 @@
     { clock, logger, store, nodeId, node, directory, writerIds, era, send }:
       StreamRecordsOptions,
   ) {
+    const versions = node.serviceVersions;
     const startedMs = clock.monotonicMs();
     this.#log = new StreamLog({
       clock,
@@ -52,11 +53,13 @@
         return origin?.service === service && origin.version === version;
       },
       onStored: (author, stored) => this.sharing.acknowledge(author, stored),
+      nodeId,
       marks: () =>
         clock.monotonicMs() - startedMs >= PEER_DISCOVERY_MS &&
           writerIds()[0] === nodeId
-          ? node.serviceVersions.inService()
+          ? versions.inService()
           : [],
+      markKeeper: (mark) => versions.findMark(mark)?.keeper,
     });
     this.sharing = new StreamSharing({
       clock,
--- a/packages/fleet_relay/tests/stream_versions_test.ts
+++ b/packages/fleet_relay/tests/stream_versions_test.ts
@@ -131,7 +131,9 @@
       isStored: (stream, { version }) =>
         this.origins.find(stream)?.version === version,
       onStored: (author, stored) => this.sharing.acknowledge(author, stored),
+      nodeId: id,
       marks: () => id === writerIds()[0] ? this.versions.inService() : [],
+      markKeeper: (mark) => this.versions.findMark(mark)?.keeper,
     });
     const directory = new PeerDirectory({ clock, selfId: id });
     for (const peer of writerIds()) {
@@ -249,6 +251,8 @@
   readonly #endpoints = new Map<string, string>();
   /** Nodes whose datagrams, in and out, are lost. */
   readonly #silent = new Set<string>();
+  /** A node that takes itself for the first writer, as no other node does. */
+  #usurper: string | undefined;
   #lossyUntilMs = 0;
 
   constructor(readonly size = 4) {
@@ -263,7 +267,10 @@
         clock: this.clock,
         store: this.store,
         id,
-        writerIds: () => this.#nodeIds,
+        writerIds: () =>
+          id === this.#usurper
+            ? [id, ...this.#nodeIds.filter((each) => each !== id)]
+            : this.#nodeIds,
         send: (address, datagrams) => this.#deliver(id, address, datagrams),
       });
       this.#endpoints.forEach((version, id) => node.setEndpoint(id, version));
@@ -277,6 +284,13 @@
     this.#silent.add(`n${index}`);
   }
 
+  /** Has a node take itself for the first writer for some time. */
+  async usurp(index: number, ms: number): Promise<void> {
+    this.#usurper = `n${index}`;
+    await this.run(ms);
+    this.#usurper = undefined;
+  }
+
   /** Cuts a node off from the other nodes. */
   cutOff(index: number): void {
     this.#silent.add(`n${index}`);
@@ -561,4 +575,19 @@
     await fleet.run(4_000);
     expect(fleet.store.writes).to.equal(writes + 1);
   });
+
+  // The writer renewed its own lease, while the mark was under that of a node that
+  // had taken itself for the writer, and expired.
+  it("is not guessed a while after two nodes took themselves for the writer", async () => {
+    fleet = new TestFleet();
+    fleet.setEndpoint("e1", "v1");
+    await fleet.run(5_000);
+    await fleet.usurp(1, 400);
+    await fleet.run(70_000);
+    fleet.setEndpoint("e1", undefined);
+    fleet.setEndpoint("e2", "v2");
+    await fleet.run(3_000);
+    await fleet.killAll();
+    expect(await fleet.resume(2)).to.equal(UNKNOWN);
+  });
 });
