fix: have the next writers mark versions that have no mark

What callers saw: nothing yet; found on the path of streams after two losses. A stream may go on at another version than began it.

Cause: marks of versions were written by the first writer only. While it is gone and counts as live, 1.5 s and at 410 nodes 24.6 s, versions that come and leave are not marked, and nodes that start then do not know of them.

Fix: the second and third writer write a mark that is missing for 0.5 and 1 s. No others do: few nodes may call a store in trouble.

Evidence: "is not guessed after a version came and left without the writer" failed before: v1 in place of stream_origin_unknown.

--- a/packages/fleet_relay/src/stream_records.ts
+++ b/packages/fleet_relay/src/stream_records.ts
@@ -7,6 +7,7 @@
 } from "@limpetshed/fleet";
 import type { Logger } from "@limpetshed/observe";
 import type { RelayNode } from "@limpetshed/relay";
+import { MarkDuty } from "./mark_duty.ts";
 import { StreamSharing } from "./stream_sharing.ts";
 
 /** Options of {@linkcode StreamRecords}. */
@@ -27,10 +28,6 @@
   send: (address: string, datagrams: readonly Buffer[]) => void;
 }
 
-/** Time after its start in which a node does not know its peers yet, so that all
- * nodes of a fleet that starts would write the same. */
-const PEER_DISCOVERY_MS = 1_500;
-
 /** Brings to the store where the streams of a node began, and the versions in
  * service. */
 export class StreamRecords {
@@ -42,7 +39,7 @@
       StreamRecordsOptions,
   ) {
     const versions = node.serviceVersions;
-    const startedMs = clock.monotonicMs();
+    const markDuty = new MarkDuty({ clock, nodeId, versions, writerIds });
     this.#log = new StreamLog({
       clock,
       logger,
@@ -54,11 +51,7 @@
       },
       onStored: (author, stored) => this.sharing.acknowledge(author, stored),
       nodeId,
-      marks: () =>
-        clock.monotonicMs() - startedMs >= PEER_DISCOVERY_MS &&
-          writerIds()[0] === nodeId
-          ? versions.inService()
-          : [],
+      marks: () => markDuty.due(),
       markKeeper: (mark) => versions.findMark(mark)?.keeper,
     });
     this.sharing = new StreamSharing({
--- a/packages/fleet_relay/tests/stream_versions_test.ts
+++ b/packages/fleet_relay/tests/stream_versions_test.ts
@@ -18,6 +18,7 @@
 import { StreamOriginResolver } from "@limpetshed/relay";
 import { expect } from "chai";
 import { before, describe, it } from "mocha";
+import { MarkDuty } from "../src/mark_duty.ts";
 import { StreamSharing } from "../src/stream_sharing.ts";
 
 const ROUND_MS = 200;
@@ -96,6 +97,7 @@
   hasStore = true;
   readonly #clock: ManualClock;
   readonly #log: StreamLog;
+  readonly #markDuty: MarkDuty;
   readonly #resolver: StreamOriginResolver;
   readonly #seen = new Set<string>();
   #confirmedMs = Number.NEGATIVE_INFINITY;
@@ -117,6 +119,12 @@
     });
     this.origins = new StreamOrigins({ clock });
     this.versions = new ServiceVersions({ clock, registry: this.registry });
+    this.#markDuty = new MarkDuty({
+      clock,
+      nodeId: id,
+      versions: this.versions,
+      writerIds,
+    });
     this.#log = new StreamLog({
       clock,
       logger,
@@ -132,7 +140,7 @@
         this.origins.find(stream)?.version === version,
       onStored: (author, stored) => this.sharing.acknowledge(author, stored),
       nodeId: id,
-      marks: () => id === writerIds()[0] ? this.versions.inService() : [],
+      marks: () => this.#markDuty.due(),
       markKeeper: (mark) => this.versions.findMark(mark)?.keeper,
     });
     const directory = new PeerDirectory({ clock, selfId: id });
@@ -576,6 +584,19 @@
     expect(fleet.store.writes).to.equal(writes + 1);
   });
 
+  // The mark of a version was written by the first writer only.
+  it("is not guessed after a version came and left without the writer", async () => {
+    fleet = new TestFleet();
+    fleet.setEndpoint("e1", "v1");
+    await fleet.run(3_000);
+    fleet.kill(0);
+    fleet.setEndpoint("e2", "v2");
+    await fleet.run(2_000);
+    fleet.setEndpoint("e2", undefined);
+    await fleet.killAll();
+    expect(await fleet.resume(2)).to.equal(UNKNOWN);
+  });
+
   // The writer renewed its own lease, while the mark was under that of a node that
   // had taken itself for the writer, and expired.
   it("is not guessed a while after two nodes took themselves for the writer", async () => {
