fix: fail paused responses after a reset, rather than the process

What callers saw: an endpoint reset the connection of a response without a length while the client read slowly.

Cause: undici finishes its parser in the socket's error, end and close listeners, which asserts that it is not paused. Nobody can catch what is thrown there. The same listeners took a connection that this process closes for the end of such a response.

Fix: ConnectionGuard, in place of ResetDetector, acts before undici's listeners: a reset gets another code and fails the response, the end of the connection resumes a response of which all bytes are read, and a close without either is an error. The bundle contains undici's connector.

--- a/packages/base/src/index.ts
+++ b/packages/base/src/index.ts
@@ -2,6 +2,11 @@
 export { abortResponse } from "./abort_response.ts";
 export { AsyncQueue } from "./async_queue.ts";
 export type { Clock, Timer } from "./clock.ts";
+export { ConnectionGuard } from "./connection_guard.ts";
+export {
+  createGuardedClient,
+  type GuardedClientOptions,
+} from "./create_guarded_client.ts";
 export { type Deferred, deferred } from "./deferred.ts";
 export { errorText } from "./error_text.ts";
 export {
@@ -19,7 +24,6 @@
 export { readStream } from "./read_stream.ts";
 export { repeat, type RepeatingTask, type RepeatOptions } from "./repeat.ts";
 export { resetConnection } from "./reset_connection.ts";
-export { ResetDetector } from "./reset_detector.ts";
 export { sharedWakeUpMs } from "./shared_wake_up.ts";
 export { sleep } from "./sleep.ts";
 export { SystemClock } from "./system_clock.ts";
--- a/packages/endpoint/src/http_endpoint_client.ts
+++ b/packages/endpoint/src/http_endpoint_client.ts
@@ -1,5 +1,8 @@
-import { buildConnector, Client, type Dispatcher, Pool } from "undici";
-import { limitInformationalResponses, ResetDetector } from "@limpetshed/base";
+import { type Dispatcher, Pool } from "undici";
+import {
+  createGuardedClient,
+  limitInformationalResponses,
+} from "@limpetshed/base";
 import type { Metrics } from "@limpetshed/observe";
 import { readChatStream } from "./chat_stream.ts";
 import {
@@ -267,18 +270,8 @@
 
 /** Creates a client for one connection that fails reset responses. */
 function createClient(origin: string | URL): Dispatcher {
-  const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
-  const resets = new ResetDetector();
-  return new Client(origin, {
-    pipelining: 1,
+  return createGuardedClient(origin, {
     keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    connect: (options, callback) =>
-      connect(options, (...result) => {
-        const [err, socket] = result;
-        if (err === null) {
-          resets.watch(socket);
-        }
-        callback(...result);
-      }),
-  }).compose(resets.interceptor());
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+  });
 }
--- a/packages/fleet/src/peer_client.ts
+++ b/packages/fleet/src/peer_client.ts
@@ -2,11 +2,12 @@
 import { gunzipSync } from "node:zlib";
 import {
   type Clock,
+  createGuardedClient,
   parseJson,
   readStream,
   withProgressTimeout,
 } from "@limpetshed/base";
-import { Client } from "undici";
+import type { Dispatcher } from "undici";
 import { CHANGES_LONG_POLL_MS, GZIP } from "./peer_server.ts";
 
 /** A parsed JSON response. */
@@ -32,7 +33,7 @@
  */
 export class PeerClient {
   readonly #clock: Clock;
-  #connection: { address: string; client: Client } | undefined;
+  #connection: { address: string; client: Dispatcher } | undefined;
 
   constructor({ clock }: { clock: Clock }) {
     this.#clock = clock;
@@ -67,16 +68,19 @@
     this.#connection = undefined;
   }
 
-  #clientFor(address: string): Client {
+  #clientFor(address: string): Dispatcher {
     if (this.#connection?.address !== address) {
       this.close();
-      this.#connection = { address, client: new Client(`http://${address}`) };
+      this.#connection = {
+        address,
+        client: createGuardedClient(`http://${address}`),
+      };
     }
     return this.#connection.client;
   }
 
   async #sendRequest(
-    client: Client,
+    client: Dispatcher,
     { path, signal, onProgress }: {
       path: string;
       signal: AbortSignal;
--- a/packages/relay/src/endpoint_connection.ts
+++ b/packages/relay/src/endpoint_connection.ts
@@ -3,8 +3,8 @@
 import type * as net from "node:net";
 import {
   type Clock,
+  ConnectionGuard,
   limitInformationalResponses,
-  ResetDetector,
 } from "@limpetshed/base";
 import { Client, type Dispatcher } from "undici";
 import type { EndpointConnector } from "./endpoint_connector.ts";
@@ -80,7 +80,7 @@
   readonly #options: EndpointConnectionOptions;
   readonly #client: Client;
   readonly #dispatcher: Dispatcher;
-  readonly #resets = new ResetDetector();
+  readonly #guard = new ConnectionGuard();
   readonly #closing = new AbortController();
   readonly #refusedIds = new Set<string>();
   #openedMs = Number.POSITIVE_INFINITY;
@@ -105,7 +105,7 @@
       connect: (_opts, done) => this.#connect(done),
     });
     this.#dispatcher = this.#client.compose(
-      this.#resets.interceptor(),
+      this.#guard.interceptor(),
       limitInformationalResponses(),
     );
     this.#client.on("disconnect", () => this.close());
@@ -204,7 +204,7 @@
     this.#isDetour = isDetour;
     this.#confirmEnd = confirmEnd ?? this.#confirmEnd;
     this.#openedMs = clock.monotonicMs();
-    this.#resets.watch(socket);
+    this.#guard.watch(socket);
     if (verify !== undefined && !await verify(this.#openedMs)) {
       socket.destroy();
       throw new Error("the endpoint may have been replaced");
--- a/packages/relay/tests/raw_client.ts
+++ b/packages/relay/tests/raw_client.ts
@@ -20,6 +20,7 @@
   id?: string;
   /** Additional header lines, each with its CRLF. */
   headers?: string;
+  body?: string;
   /** Called with the connection as soon as the first bytes have arrived. */
   onFirstBytes?: (socket: net.Socket) => void;
 }
@@ -39,6 +40,7 @@
     connection = "keep-alive",
     id = "r1",
     headers = "",
+    body = "hello",
     onFirstBytes = () => {},
   }: RawRequestOptions,
 ): Promise<RawResponse> {
@@ -47,7 +49,7 @@
   socket.write(
     `${method} ${path} HTTP/${version}\r\nhost: 127.0.0.1\r\nauthorization: k\r\n` +
       `x-id: ${id}\r\nconnection: ${connection}\r\n${headers}` +
-      `content-length: 5${HEAD_END}hello`,
+      `content-length: ${body.length}${HEAD_END}${body}`,
   );
   return new Promise((resolve) => {
     let text = "";
--- a/packages/relay/tests/relay_fixture.ts
+++ b/packages/relay/tests/relay_fixture.ts
@@ -204,12 +204,14 @@
       isPublic = false,
       accountPriority,
       maxConnections = 100,
+      maxBodyBytes = 65_536,
       headerTimeoutMs = 3_000,
       idleTimeoutMs = 15_000,
     }: {
       isPublic?: boolean;
       accountPriority?: number;
       maxConnections?: number;
+      maxBodyBytes?: number;
       headerTimeoutMs?: number;
       idleTimeoutMs?: number;
     } = {},
@@ -244,7 +246,7 @@
       accounts: [{ name: "acme", keys: ["k"], priority: accountPriority }],
       limits: {
         maxHeaderBytes: 4_096,
-        maxBodyBytes: 65_536,
+        maxBodyBytes,
         headerTimeoutMs,
         idleTimeoutMs,
       },
--- a/scripts/bundle_node.js
+++ b/scripts/bundle_node.js
@@ -25,6 +25,7 @@
 const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
 Dispatcher.prototype.request = require("undici/lib/api/api-request.js");
 exports.Client = require("undici/lib/dispatcher/client.js");
+exports.buildConnector = require("undici/lib/core/connect.js");
 `,
   "prom-client": `
 exports.Registry = require("prom-client/lib/registry.js");
