--- a/packages/fleet/src/choose_watchers.ts
+++ b/packages/fleet/src/choose_watchers.ts
@@ -29,7 +29,7 @@
   candidates: readonly WatcherCandidate[],
   rank: (ids: readonly string[]) => string[],
 ): string[] {
-  return split(candidates, rank).watchers;
+  return orderByPreference(candidates, rank).watchers;
 }
 
 /**
@@ -42,11 +42,11 @@
   candidates: readonly WatcherCandidate[],
   rank: (ids: readonly string[]) => string[],
 ): string[] {
-  const { watchers, others } = split(candidates, rank);
+  const { watchers, others } = orderByPreference(candidates, rank);
   return [...watchers, ...others];
 }
 
-function split(
+function orderByPreference(
   candidates: readonly WatcherCandidate[],
   rank: (ids: readonly string[]) => string[],
 ): { watchers: string[]; others: string[] } {
