--- a/review/support-3/platform.mjs
+++ b/review/support-3/platform.mjs
@@ -307,6 +307,13 @@
   ["SIGINT", "SIGTERM"].forEach((name) =>
     process.on(name, () => finish(EXIT.notRun))
   );
+  // Node.js would exit with 1, which stands for a broken rule.
+  ["uncaughtException", "unhandledRejection"].forEach((name) =>
+    process.on(name, (err) => {
+      record.line(`the case could not run: ${err?.stack ?? err}`);
+      finish(EXIT.notRun);
+    })
+  );
   setTimeout(() => {
     record.say("the case did not end in time");
     finish(EXIT.notRun);
